--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -178,16 +178,17 @@
 // start makes an instance from its first event.
 func start(e *event, clock int64) *pilot {
 	p := &pilot{name: e.Instance, origin: clock, joined: map[int]bool{}}
+	p.number(e.Setup)
 	renamed, _ := rename("", e.Setup).(map[string]any)
 	terms := map[string]any{}
 	flatten(terms, renamed)
-	p.number(terms, e.Setup)
 	p.brain = brain.New(e.Seed, terms)
 	return p
 }
 
-// number gives the names told at the start their indices and puts the own zone's index in place of its name.
-func (p *pilot) number(terms, setup map[string]any) {
+// number gives the names told at the start their indices and puts indices in place of names where one refers
+// to another.
+func (p *pilot) number(setup map[string]any) {
 	for _, d := range []struct {
 		key string
 		to  *door
@@ -204,13 +205,27 @@
 		if m, ok := c.(map[string]any); ok {
 			name, _ := m["name"].(string)
 			p.kinds.in(name)
+			m["only_machines"] = indices(&p.models, m["only_kinds"])
+			m["only_zones"] = indices(&p.zones, m["only_zones"])
 		}
 	}
 	if z, ok := setup["zone"].(string); ok {
-		terms["zone"] = float64(p.zones.in(z))
+		setup["zone"] = float64(p.zones.in(z))
 	}
 }
 
+// indices turns a list of names into their indices.
+func indices(d *door, names any) []any {
+	var list []any
+	all, _ := names.([]any)
+	for _, n := range all {
+		if s, ok := n.(string); ok {
+			list = append(list, float64(d.in(s)))
+		}
+	}
+	return list
+}
+
 // handle runs the module and turns a panic in it into the wire's fault.
 func (p *pilot) handle(clock int64, notes []brain.Note) (acts []map[string]any, err error) {
 	defer func() {
