Health spares overloaded endpoints; spill counts missing servers

Cause: under overload refusals looked like sickness, endpoints left in turn, and a cold one was pushed over.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -451,7 +451,7 @@
 		v.lastGood = e.b.now
 	}
 	if n.SpanMs > 0 {
-		v.rate = (v.rate + float64(n.Tries)*1000/n.SpanMs) / 2
+		v.rate = (v.rate + float64(good)*1000/n.SpanMs) / 2
 	}
 	e.report(n.Load)
 }
@@ -585,12 +585,12 @@
 		return
 	}
 	ratio := v.bad / math.Max(1, v.good+v.bad)
-	failing := v.bad >= 3 && ratio > 0.3+1.5*r.failing
+	busy := e.load > knee && b.now-e.heard < staleMs // an overloaded endpoint is the penalty's business
+	failing := v.bad >= 3 && ratio > 0.3+1.5*r.failing && !busy
 	if v.trust < 1 {
-		failing = v.bad >= 2 && ratio > 0.5
+		failing = v.bad >= 2 && ratio > math.Max(0.5, r.failing)
 	}
-	gap := b.now - v.lastGood
-	due := r.rate * r.shares[e.Endpoint] * (gap - r.lag()) / 1000
+	due := math.Min(v.rate, r.rate*r.shares[e.Endpoint]) * (b.now - v.lastGood - r.lag()) / 1000
 	silent := due >= 8 && r.alive() || e.misses >= 2 && v.lastGood < e.missAt
 	if failing || silent {
 		b.say("endpoint %d zone %d: out, good %.1f bad %.1f due %.1f misses %d rest %.2f", e.Endpoint, r.zone,
@@ -647,7 +647,7 @@
 // met books demand, failures and the way's length to a zone.
 func (r *region) met(n metAt) {
 	r.last = r.b.now
-	r.tries += float64(n.Tries)
+	r.tries += float64(n.Tries - n.Failed)
 	r.good += float64(n.Tries - n.Failed)
 	r.bad += float64(n.Failed)
 	r.gaps += (n.SpanMs - r.gaps) / 16
@@ -677,8 +677,8 @@
 	}
 	r.shares = map[int]float64{}
 	for g := range r.b.groups {
-		lines := r.candidates(&r.b.groups[g])
-		share(lines)
+		lines, own := r.candidates(&r.b.groups[g])
+		share(lines, own)
 		table := r.zone*len(r.b.groups) + g
 		for _, l := range lines {
 			r.shares[l.be] += l.x / float64(len(r.b.groups))
@@ -697,18 +697,21 @@
 
 // candidates lists the endpoints open to a group, with cost, listed share and cap. If all are out, all are in:
 // a line that may fail is better than none.
-func (r *region) candidates(g *kindGroup) []line {
+func (r *region) candidates(g *kindGroup) ([]line, float64) {
 	var lines []line
-	total, ownTotal, trusted := 0.0, 0.0, 0.0
+	total, ownTotal, normal, trusted := 0.0, 0.0, 0.0, 0.0
 	for i := range r.b.bes {
 		o := r.offers[i]
 		if o == nil {
 			continue
 		}
-		l := line{be: i, cap: 0}
+		l := line{be: i, own: o.zone == r.zone}
+		if g.open(r.zone, o) && l.own {
+			normal += o.weight
+		}
 		if o.ready && g.open(r.zone, o) {
-			l.listed, l.cost, l.own = o.weight, r.rank(o.zone)+o.price, o.zone == r.zone
-			l.cap = o.warmth * o.trust
+			l.listed, l.cost = o.weight, r.rank(o.zone)+o.price
+			l.cap = o.warmth * o.trust * pick(o.warmth < 1, 1-r.failing, 1)
 			total += o.weight
 			ownTotal += pick(l.own, o.weight, 0)
 			trusted += pick(o.warmth >= 1, o.trust, 0)
@@ -730,15 +733,13 @@
 			l.cap *= l.listed * total / pick(l.own, ownTotal, total)
 		}
 	}
-	return lines
+	return lines, normal / math.Max(total, 1e-9)
 }
 
 // share runs the projected-gradient loop from the listed shares.
-func share(lines []line) {
-	own := 0.0
+func share(lines []line, own float64) {
 	for i := range lines {
 		lines[i].x = lines[i].listed
-		own += pick(lines[i].own, lines[i].listed, 0)
 	}
 	const steps = 24
 	eta := reach / math.Max(own, 0.1) / steps
@@ -755,7 +756,7 @@
 		project(lines)
 	}
 	for i := range lines {
-		if lines[i].x < 0.002 {
+		if lines[i].x < 0.004 {
 			lines[i].x = 0
 		}
 	}
