--- a/brain/brain.go
+++ b/brain/brain.go
@@ -17,9 +17,10 @@
 )
 
 const (
+	lagGathers = 3      // gathers until a report shows what a table changed
 	gatherMs   = 1000.0 // the gather window: reports are about a second apart and late
-	theta      = 0.2    // penalty gain: with reports seconds late, more makes the shares swing
-	knee       = 0.8    // the load at which a penalty starts to grow (T)
+	theta      = 0.6    // penalty gain
+	knee       = 0.7    // the load at which a penalty starts to grow (T)
 	reach      = 1.5    // how far the gradient loop goes, in units of the own zone's part
 	tolerance  = 0.15   // a line is sent again when it is off by this part
 	rankMargin = 1.3    // zones change rank when one answers this much sooner
@@ -83,7 +84,11 @@
 		out bool
 	} // an endpoint must leave or may enter all tables
 	probing struct{ be int }
-	flush   struct{}
+	plan    struct { // a region tells an endpoint what its tables will bring, in reqs a second
+		zone int
+		rate float64
+	}
+	flush struct{}
 )
 
 // Brain is one pilot's decision maker.
@@ -227,9 +232,12 @@
 		be.post(n)
 		b.region(n.Zone).post(metAt{n, be.Zone, be.listed})
 	case Joined:
-		b.region(n.Zone)
+		b.region(n.Zone).post(n)
 		b.desk.post(n)
 	case Left:
+		for _, r := range b.regions {
+			r.post(n)
+		}
 		b.desk.post(n)
 	}
 }
@@ -349,7 +357,8 @@
 // region returns the actor of a zone's proxies, making room for it.
 func (b *Brain) region(zone int) *region {
 	for len(b.regions) <= zone {
-		b.regions = append(b.regions, &region{b: b, zone: len(b.regions), offers: map[int]*offer{}, shares: map[int]float64{}})
+		b.regions = append(b.regions, &region{b: b, zone: len(b.regions), offers: map[int]*offer{},
+			shares: map[int]float64{}, rates: map[int]float64{}})
 	}
 	return b.regions[zone]
 }
@@ -367,7 +376,8 @@
 	price   float64 // the penalty lambda
 	speeds  histogram
 	views   []*view
-	misses  int // probes without an answer in a row
+	plans   [lagGathers + 1]float64 // what the tables of this and earlier gathers bring
+	misses  int                     // probes without an answer in a row
 	missAt  float64
 	probeOK float64
 }
@@ -405,7 +415,7 @@
 	out         bool
 	until, wait float64
 	trust       float64
-	since       float64
+	plan        float64
 }
 
 func (e *endpoint) view(zone int) *view {
@@ -423,6 +433,8 @@
 		e.met(n)
 	case Probed:
 		e.probed(n)
+	case plan:
+		e.view(n.zone).plan = n.rate
 	case gather:
 		e.gather(n)
 	}
@@ -512,6 +524,7 @@
 		load = e.load
 	}
 	if n.step {
+		load *= e.shift()
 		e.price = math.Max(0, e.price+theta*e.part()*(load*load-knee*knee))
 		e.b.post(standing{e.class(), pick(fresh, e.load, -1), e.speed()})
 		e.probe()
@@ -536,6 +549,22 @@
 	return no
 }
 
+// shift brings a report up to date: it was made under the tables of some gathers ago, and what was changed since
+// has yet to show. Without it the penalty swings, as it goes on acting on what it has already mended.
+func (e *endpoint) shift() float64 {
+	own := 0.0
+	for _, v := range e.views {
+		own += v.plan
+	}
+	then := e.plans[lagGathers]
+	copy(e.plans[1:], e.plans[:])
+	e.plans[0] = own
+	if then <= 0 {
+		return 1
+	}
+	return 1 + e.part()*(math.Max(0.25, math.Min(4, own/then))-1)
+}
+
 // speed is the endpoint's speed by its reports, 0 while they are few.
 func (e *endpoint) speed() float64 {
 	total, mean := e.speeds.sum()
@@ -577,7 +606,7 @@
 	switch {
 	case v.out:
 		if b.now >= v.until && e.misses == 0 {
-			v.out, v.trust, v.good, v.bad, v.lastGood, v.since = false, trialPart, 0, 0, b.now, b.now
+			v.out, v.trust, v.good, v.bad, v.lastGood = false, trialPart, 0, 0, b.now
 			b.say("endpoint %d zone %d: trial", e.Endpoint, r.zone)
 		}
 		return
@@ -624,7 +653,8 @@
 	latency   []float64
 	last      float64
 	gaps      float64
-	lines     float64
+	rates     map[int]float64 // what each joined proxy ordinarily gets
+	demand    float64
 }
 
 // lag is how long an endpoint's line may be late when all is well.
@@ -637,6 +667,10 @@
 	switch n := note.(type) {
 	case metAt:
 		r.met(n)
+	case Joined:
+		r.rates[n.Proxy] = n.Rate
+	case Left:
+		delete(r.rates, n.Proxy)
 	case offer:
 		r.offers[n.be] = &n
 	case solve:
@@ -675,7 +709,15 @@
 		r.failing = r.bad / math.Max(8, r.good+r.bad)
 		r.tries, r.good, r.bad = 0, r.good*0.6, r.bad*0.6
 	}
-	r.shares = map[int]float64{}
+	r.shares, r.demand = map[int]float64{}, 0
+	proxies := make([]int, 0, len(r.rates))
+	for p := range r.rates {
+		proxies = append(proxies, p)
+	}
+	sort.Ints(proxies)
+	for _, p := range proxies {
+		r.demand += r.rates[p]
+	}
 	for g := range r.b.groups {
 		lines, own := r.candidates(&r.b.groups[g])
 		share(lines, own)
@@ -685,6 +727,9 @@
 			r.b.desk.post(wish{table, l.be, l.x})
 		}
 	}
+	for i, be := range r.b.bes {
+		be.post(plan{r.zone, r.shares[i] * r.demand})
+	}
 }
 
 // line is one endpoint in a solve.
