--- a/brain/brain.go
+++ b/brain/brain.go
@@ -19,8 +19,8 @@
 const (
 	lagGathers = 3      // gathers until a report shows what a table changed
 	gatherMs   = 1000.0 // the gather window: reports are about a second apart and late
-	theta      = 0.6    // penalty gain
-	knee       = 0.7    // the load at which a penalty starts to grow (T)
+	theta      = 0.2    // penalty gain
+	knee       = 0.8    // the load at which a penalty starts to grow (T)
 	reach      = 1.5    // how far the gradient loop goes, in units of the own zone's part
 	tolerance  = 0.15   // a line is sent again when it is off by this part
 	rankMargin = 1.3    // zones change rank when one answers this much sooner
@@ -28,6 +28,7 @@
 	firstWait  = 4000.0 // first wait before a trial; grows by waitGrowth after each relapse
 	waitGrowth = 1.6
 	longWait   = 20000.0
+	calm       = 0.3    // weight of a new load report against the earlier ones
 	staleMs    = 5000.0 // a load report older than this counts as unheard
 	everyKind  = 31     // req kinds that a bit mask can name
 )
@@ -487,7 +488,7 @@
 func (e *endpoint) report(l Load) {
 	listed := math.Max(e.Weight, 1e-3)
 	if util, ok := l["util"]; ok {
-		e.load, e.heard = util, e.b.now
+		e.hear(util)
 		if e.rate = l["rate"]; util > 0.15 && e.rate > 0 {
 			e.speeds.add(e.rate / util / listed)
 		}
@@ -498,13 +499,21 @@
 		q, ok = l["in_hand"]
 	}
 	if ok {
-		e.load, e.heard = (math.Sqrt(q*q+4*q)-q)/2, e.b.now
+		e.hear((math.Sqrt(q*q+4*q) - q) / 2)
 	}
 	if ms := l["service_ms"]; ms > 0 {
 		e.speeds.add(1000 / ms)
 	}
 }
 
+// hear takes a reported load into a mean over the last few reports: a single one jumps by half.
+func (e *endpoint) hear(load float64) {
+	if e.load < 0 || e.b.now-e.heard > staleMs {
+		e.load = load
+	}
+	e.load, e.heard = e.load+(load-e.load)*calm, e.b.now
+}
+
 // class tells which endpoints' speeds compare: all where capacity shows, else those of the same machine.
 func (e *endpoint) class() int {
 	if e.rate > 0 {
