--- a/brain/brain.go
+++ b/brain/brain.go
@@ -19,8 +19,8 @@
 const (
 	lagGathers = 3      // gathers until a report shows what a table changed
 	gatherMs   = 1000.0 // the gather window: reports are about a second apart and late
-	theta      = 0.2    // penalty gain
-	knee       = 0.8    // the load at which a penalty starts to grow (T)
+	theta      = 0.4    // penalty gain
+	knee       = 0.75   // the load at which a penalty starts to grow (T)
 	reach      = 1.5    // how far the gradient loop goes, in units of the own zone's part
 	tolerance  = 0.15   // a line is sent again when it is off by this part
 	rankMargin = 1.3    // zones change rank when one answers this much sooner
@@ -28,7 +28,8 @@
 	firstWait  = 4000.0 // first wait before a trial; grows by waitGrowth after each relapse
 	waitGrowth = 1.6
 	longWait   = 20000.0
-	calm       = 0.3    // weight of a new load report against the earlier ones
+	single     = 0.4    // weight of an endpoint's own penalty against the mean of its zone
+	calm       = 0.5    // weight of a new load report against the earlier ones
 	staleMs    = 5000.0 // a load report older than this counts as unheard
 	everyKind  = 31     // req kinds that a bit mask can name
 )
@@ -787,9 +788,26 @@
 			l.cap *= l.listed * total / pick(l.own, ownTotal, total)
 		}
 	}
+	r.shrink(lines)
 	return lines, normal / math.Max(total, 1e-9)
 }
 
+// shrink draws each cost towards the mean of its zone: that a zone is short shows clearly in the mean of its
+// endpoints, while one endpoint's reports are mostly noise.
+func (r *region) shrink(lines []line) {
+	sums, parts := map[int]float64{}, map[int]float64{}
+	for _, l := range lines {
+		zone := r.offers[l.be].zone
+		sums[zone] += l.cost * l.listed
+		parts[zone] += l.listed
+	}
+	for i, l := range lines {
+		if zone := r.offers[l.be].zone; parts[zone] > 0 {
+			lines[i].cost = sums[zone]/parts[zone] + single*(l.cost-sums[zone]/parts[zone])
+		}
+	}
+}
+
 // share runs the projected-gradient loop from the listed shares.
 func share(lines []line, own float64) {
 	for i := range lines {
