--- a/brain/brain.go
+++ b/brain/brain.go
@@ -28,7 +28,10 @@
 	firstWait  = 4000.0 // first wait before a trial; grows by waitGrowth after each relapse
 	waitGrowth = 1.6
 	longWait   = 20000.0
-	single     = 0.4    // weight of an endpoint's own penalty against the mean of its zone
+	single     = 0.4 // weight of an endpoint's own penalty against the mean of its zone
+	full       = 0.9 // mean load at which reqs are denied
+	shedStep   = 0.06
+	leastLevel = 0.1
 	calm       = 0.5    // weight of a new load report against the earlier ones
 	staleMs    = 5000.0 // a load report older than this counts as unheard
 	everyKind  = 31     // req kinds that a bit mask can name
@@ -74,6 +77,7 @@
 		be, zone, machine    int
 		weight, price, trust float64
 		ready                bool
+		load                 float64
 		warmth               float64
 	}
 	solve struct{} // asks a region for new tables
@@ -90,6 +94,10 @@
 		zone int
 		rate float64
 	}
+	allow struct { // a region wants a level for the kinds of a mask
+		table, kinds int
+		level        float64
+	}
 	flush struct{}
 )
 
@@ -236,6 +244,10 @@
 	case Joined:
 		b.region(n.Zone).post(n)
 		b.desk.post(n)
+	case Demand:
+		for _, r := range b.regions {
+			r.post(n)
+		}
 	case Left:
 		for _, r := range b.regions {
 			r.post(n)
@@ -548,7 +560,7 @@
 		if n.step {
 			e.judge(r, v)
 		}
-		r.post(offer{e.Endpoint, e.Zone, e.Machine, weight, e.price, pick(v.out, 0, v.trust), e.Phase == Ready, e.warmth()})
+		r.post(offer{e.Endpoint, e.Zone, e.Machine, weight, e.price, pick(v.out, 0, v.trust), e.Phase == Ready, pick(fresh, e.load, n.mean), e.warmth()})
 	}
 }
 
@@ -663,6 +675,8 @@
 	latency   []float64
 	last      float64
 	gaps      float64
+	asked     []float64       // reqs by kind, halved each gather
+	shed      float64         // part of the reqs to be denied
 	rates     map[int]float64 // what each joined proxy ordinarily gets
 	demand    float64
 }
@@ -681,6 +695,13 @@
 		r.rates[n.Proxy] = n.Rate
 	case Left:
 		delete(r.rates, n.Proxy)
+	case Demand:
+		if _, ours := r.rates[n.Proxy]; ours {
+			for len(r.asked) <= n.Kind {
+				r.asked = append(r.asked, 0)
+			}
+			r.asked[n.Kind] += float64(n.Reqs)
+		}
 	case offer:
 		r.offers[n.be] = &n
 	case solve:
@@ -737,11 +758,65 @@
 			r.b.desk.post(wish{table, l.be, l.x})
 		}
 	}
+	r.level()
 	for i, be := range r.b.bes {
 		be.post(plan{r.zone, r.shares[i] * r.demand})
 	}
 }
 
+// level denies part of the reqs while the endpoints that the tables use are overloaded on the whole: late answers
+// earn next to nothing and keep the queues full. The kinds with the least payoff for their response target, which
+// stands for their work, go first.
+func (r *region) level() {
+	load, sum := 0.0, 0.0
+	for i := range r.b.bes {
+		if o := r.offers[i]; o != nil {
+			load += r.shares[i] * o.load
+			sum += r.shares[i]
+		}
+	}
+	load /= math.Max(sum, 1e-9)
+	before := r.shed
+	if load > full {
+		r.shed = math.Min(0.9, r.shed+shedStep*(1+2*r.failing))
+	} else if load < full-0.1 {
+		r.shed = math.Max(0, r.shed-shedStep/2)
+	}
+	if (before == 0) != (r.shed == 0) {
+		r.b.say("zone %d: denying %.2f, load %.2f failing %.2f", r.zone, r.shed, load, r.failing)
+	}
+	total := 1e-9
+	for k := range r.asked {
+		r.asked[k] *= 0.7
+		total += r.asked[k]
+	}
+	left := r.shed
+	for _, k := range r.b.byPayoff() {
+		level := 1.0
+		if k < len(r.asked) && left > 0 && r.asked[k] > 0 {
+			cut := math.Min(1-leastLevel, left*total/r.asked[k])
+			level, left = 1-cut, left-cut*r.asked[k]/total
+		}
+		for g, group := range r.b.groups {
+			if group.mask == 0 || group.mask&(1<<k) != 0 {
+				r.b.desk.post(allow{r.zone*len(r.b.groups) + g, 1 << k, level})
+			}
+		}
+	}
+}
+
+// byPayoff lists the req kinds, those with the least payoff for their response target first.
+func (b *Brain) byPayoff() []int {
+	kinds, _ := b.brief["req_kinds"].([]any)
+	order, worth := make([]int, len(kinds)), make([]float64, len(kinds))
+	for i, k := range kinds {
+		m, _ := k.(map[string]any)
+		order[i], worth[i] = i, briefing(m).num("payoff", 1)/briefing(m).num("response_target", 1000)
+	}
+	sort.SliceStable(order, func(i, j int) bool { return worth[order[i]] < worth[order[j]] })
+	return order[:min(len(order), everyKind)]
+}
+
 // line is one endpoint in a solve.
 type line struct {
 	be                int
@@ -880,7 +955,7 @@
 	at      float64
 }
 
-type table struct{ sent, want map[int]float64 }
+type table struct{ sent, want, levels, admits map[int]float64 }
 
 type proxy struct {
 	zone  int
@@ -896,6 +971,8 @@
 	case wish:
 		t := c.table(n.table)
 		t.want[n.be] = n.weight
+	case allow:
+		c.table(n.table).levels[n.kinds] = n.level
 	case shut:
 		c.shuts = append(c.shuts, n)
 	case Joined:
@@ -912,7 +989,7 @@
 
 func (c *courier) table(i int) *table {
 	if c.tables[i] == nil {
-		c.tables[i] = &table{map[int]float64{}, map[int]float64{}}
+		c.tables[i] = &table{map[int]float64{}, map[int]float64{}, map[int]float64{}, map[int]float64{}}
 	}
 	return c.tables[i]
 }
@@ -930,6 +1007,7 @@
 	n := len(c.b.regions) * len(c.b.groups)
 	for i := 0; i < n; i++ {
 		c.push(i)
+		c.admit(i)
 	}
 	for _, s := range c.shuts {
 		if !s.out {
@@ -952,7 +1030,7 @@
 	for g, group := range c.b.groups {
 		i := p.zone*len(c.b.groups) + g
 		c.b.orders = append(c.b.orders, Bind{Table: i, Proxy: j.Proxy, Kinds: group.mask})
-		c.waiting += float64(len(c.table(i).sent)) + 1
+		c.waiting += float64(len(c.table(i).sent)+len(c.table(i).admits)) + 1
 	}
 	c.waiting += c.b.brief.num("head_lines", 4)
 	p.sends = append(p.sends, c.b.now)
@@ -994,6 +1072,24 @@
 	}
 }
 
+// admit writes a table's levels that have changed enough.
+func (c *courier) admit(i int) {
+	t := c.table(i)
+	if c.b.brief["admission"] != "share" {
+		return
+	}
+	for k := 0; k < everyKind; k++ {
+		level, ok := t.levels[1<<k]
+		sent, was := t.admits[1<<k]
+		if sent = pick(was, sent, 1); !ok || sent == level || math.Abs(sent-level) < 0.06 && level < 1 {
+			continue
+		}
+		t.admits[1<<k] = level
+		c.write(Admit{Table: i, Kinds: 1 << k, Again: int(c.b.brief.num("retry_default", 0)), Level: level},
+			i/len(c.b.groups), 1)
+	}
+}
+
 // room tells whether the channel and the proxies' message counts leave room for what can wait.
 func (c *courier) room(zone, lines int) bool {
 	most := c.b.brief.num("messages_most", math.Inf(1))
