--- a/brain/brain.go
+++ b/brain/brain.go
@@ -421,6 +421,18 @@
 	return total, mean
 }
 
+// top returns the speed that a fifth of the counts reach, 0 while they are few.
+func (h *histogram) top() float64 {
+	total, _ := h.sum()
+	over := 0.0
+	for i := len(h.bins) - 1; i >= 0 && total >= 4; i-- {
+		if over += h.bins[i]; over >= total/5 {
+			return math.Exp2(float64(i-8) / 2)
+		}
+	}
+	return 0
+}
+
 // view is what a zone's proxies see of an endpoint.
 type view struct {
 	good, bad   float64 // answers and failures, halved each gather
@@ -511,14 +523,22 @@
 	if !ok {
 		q, ok = l["in_hand"]
 	}
-	if ok {
-		e.hear((math.Sqrt(q*q+4*q) - q) / 2)
-	}
+	load := (math.Sqrt(q*q+4*q) - q) / 2
 	if ms := l["service_ms"]; ms > 0 {
 		e.speeds.add(1000 / ms)
+		if base := e.base(); base > 0 {
+			slow := math.Max(0, base*ms/1000-1)
+			load = math.Max(load, 1-1/(1+3*slow))
+		}
+	}
+	if ok {
+		e.hear(load)
 	}
 }
 
+// base is the speed of the unloaded endpoint: its own in its best times, or that of its like if it never had any.
+func (e *endpoint) base() float64 { return math.Max(e.speed(), 0.7*e.b.speed[e.class()]) }
+
 // hear takes a reported load into a mean over the last few reports: a single one jumps by half.
 func (e *endpoint) hear(load float64) {
 	if e.load < 0 || e.b.now-e.heard > staleMs {
@@ -589,8 +609,11 @@
 
 // speed is the endpoint's speed by its reports, 0 while they are few.
 func (e *endpoint) speed() float64 {
-	total, mean := e.speeds.sum()
-	return pick(total >= 4, mean, 0)
+	if e.rate > 0 {
+		total, mean := e.speeds.sum()
+		return pick(total >= 4, mean, 0)
+	}
+	return e.speeds.top()
 }
 
 // part is this pilot's part of the endpoint's load.
