--- a/brain/brain.go
+++ b/brain/brain.go
@@ -28,8 +28,9 @@
 	firstWait  = 4000.0 // first wait before a trial; grows by waitGrowth after each relapse
 	waitGrowth = 1.6
 	longWait   = 20000.0
-	single     = 0.4 // weight of an endpoint's own penalty against the mean of its zone
-	full       = 0.9 // mean load at which reqs are denied
+	crossing   = 2.75 // mean penalty at which a zone spills, for each point of the price of crossing
+	single     = 0.4  // weight of an endpoint's own penalty against the mean of its zone
+	full       = 0.9  // mean load at which reqs are denied
 	shedStep   = 0.06
 	leastLevel = 0.1
 	calm       = 0.5    // weight of a new load report against the earlier ones
@@ -567,7 +568,8 @@
 	}
 	if n.step {
 		load *= e.shift()
-		e.price = math.Max(0, e.price+theta*e.part()*(load*load-knee*knee))
+		target := math.Max(knee, n.mean) // when all are above it, only those above the mean pay
+		e.price = math.Max(0, e.price+theta*e.part()*(load*load-target*target))
 		e.b.post(standing{e.class(), pick(fresh, e.load, -1), e.speed()})
 		e.probe()
 	}
@@ -753,7 +755,7 @@
 		return 0
 	}
 	n := len(r.b.regions)
-	return 1 + 0.25*float64((zone-r.zone+n)%n-1)
+	return 1/reach + crossing*r.b.brief.num("cross_zone", 0.1) + 0.2*float64((zone-r.zone+n)%n-1)
 }
 
 // solve lays this region's tables, one for each group of req kinds.
