--- a/brain/brain.go
+++ b/brain/brain.go
@@ -854,18 +854,19 @@
 // a line that may fail is better than none.
 func (r *region) candidates(g *kindGroup) ([]line, float64) {
 	var lines []line
+	home := r.home(g)
 	total, ownTotal, normal, trusted := 0.0, 0.0, 0.0, 0.0
 	for i := range r.b.bes {
 		o := r.offers[i]
 		if o == nil {
 			continue
 		}
-		l := line{be: i, own: o.zone == r.zone}
+		l := line{be: i, own: o.zone == home}
 		if g.open(r.zone, o) && l.own {
 			normal += o.weight
 		}
 		if o.ready && g.open(r.zone, o) {
-			l.listed, l.cost = o.weight, r.rank(o.zone)+o.price
+			l.listed, l.cost = o.weight, pick(l.own, 0, r.rank(o.zone))+o.price
 			l.cap = o.warmth * o.trust * pick(o.warmth < 1, 1-r.failing, 1)
 			total += o.weight
 			ownTotal += pick(l.own, o.weight, 0)
@@ -892,6 +893,17 @@
 	return lines, normal / math.Max(total, 1e-9)
 }
 
+// home is the zone that serves a group as its own: the nearest one where any endpoint is open to it.
+func (r *region) home(g *kindGroup) int {
+	home := -1
+	for i := range r.b.bes {
+		if o := r.offers[i]; o != nil && g.open(r.zone, o) && (home < 0 || r.rank(o.zone) < r.rank(home)) {
+			home = o.zone
+		}
+	}
+	return home
+}
+
 // shrink draws each cost towards the mean of its zone: that a zone is short shows clearly in the mean of its
 // endpoints, while one endpoint's reports are mostly noise.
 func (r *region) shrink(lines []line) {
