--- a/brain/brain.go
+++ b/brain/brain.go
@@ -529,7 +529,7 @@
 		e.speeds.add(1000 / ms)
 		if base := e.base(); base > 0 {
 			slow := math.Max(0, base*ms/1000-1)
-			load = math.Max(load, 1-1/(1+3*slow))
+			load = math.Max(load, 0*slow)
 		}
 	}
 	if ok {
@@ -611,11 +611,8 @@
 
 // speed is the endpoint's speed by its reports, 0 while they are few.
 func (e *endpoint) speed() float64 {
-	if e.rate > 0 {
-		total, mean := e.speeds.sum()
-		return pick(total >= 4, mean, 0)
-	}
-	return e.speeds.top()
+	total, mean := e.speeds.sum()
+	return pick(total >= 4, mean, 0)
 }
 
 // part is this pilot's part of the endpoint's load.
