--- a/brain/brain.go
+++ b/brain/brain.go
@@ -387,6 +387,7 @@
 	out     bool
 	load    float64 // the last reported load, below 0 if none
 	heard   float64
+	first   float64 // when the first report came
 	rate    float64 // reqs a second by its report
 	price   float64 // the penalty lambda
 	speeds  histogram
@@ -526,10 +527,12 @@
 	}
 	load := (math.Sqrt(q*q+4*q) - q) / 2
 	if ms := l["service_ms"]; ms > 0 {
-		e.speeds.add(1000 / ms)
+		if e.b.now-e.first > staleMs { // the first figures after a start are far too low
+			e.speeds.add(1000 / ms)
+		}
 		if base := e.base(); base > 0 {
 			slow := math.Max(0, base*ms/1000-1)
-			load = math.Max(load, 0*slow)
+			load = math.Max(load, 1-1/(1+2*slow))
 		}
 	}
 	if ok {
@@ -543,7 +546,7 @@
 // hear takes a reported load into a mean over the last few reports: a single one jumps by half.
 func (e *endpoint) hear(load float64) {
 	if e.load < 0 || e.b.now-e.heard > staleMs {
-		e.load = load
+		e.load, e.first = load, e.b.now
 	}
 	e.load, e.heard = e.load+(load-e.load)*calm, e.b.now
 }
@@ -611,8 +614,11 @@
 
 // speed is the endpoint's speed by its reports, 0 while they are few.
 func (e *endpoint) speed() float64 {
-	total, mean := e.speeds.sum()
-	return pick(total >= 4, mean, 0)
+	if e.rate > 0 {
+		total, mean := e.speeds.sum()
+		return pick(total >= 4, mean, 0)
+	}
+	return e.speeds.top()
 }
 
 // part is this pilot's part of the endpoint's load.
