--- a/brain/brain.go
+++ b/brain/brain.go
@@ -12,7 +12,9 @@
 import (
 	"fmt"
 	"hash/crc32"
+	"maps"
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -29,6 +31,7 @@
 	waitGrowth = 1.6
 	longWait   = 20000.0
 	crossing   = 2.75 // mean penalty at which a zone spills, for each point of the price of crossing
+	foresight  = 1.0  // weight of the load that a solve would bring
 	single     = 0.4  // weight of an endpoint's own penalty against the mean of its zone
 	full       = 0.9  // mean load at which reqs are denied
 	shedStep   = 0.06
@@ -79,6 +82,8 @@
 		weight, price, trust float64
 		ready                bool
 		load                 float64
+		heard                bool
+		planned              []float64
 		warmth               float64
 	}
 	solve struct{} // asks a region for new tables
@@ -91,9 +96,9 @@
 		out bool
 	} // an endpoint must leave or may enter all tables
 	probing struct{ be int }
-	plan    struct { // a region tells an endpoint what its tables will bring, in reqs a second
-		zone int
-		rate float64
+	plan    struct { // a region tells an endpoint what a table will bring, in reqs a second
+		table int
+		rate  float64
 	}
 	allow struct { // a region wants a level for the kinds of a mask
 		table, kinds int
@@ -243,7 +248,10 @@
 		be.post(n)
 		b.region(n.Zone).post(metAt{n, be.Zone, be.listed})
 	case Joined:
-		b.region(n.Zone).post(n)
+		b.region(n.Zone)
+		for _, r := range b.regions {
+			r.post(n)
+		}
 		b.desk.post(n)
 	case Demand:
 		for _, r := range b.regions {
@@ -373,7 +381,8 @@
 func (b *Brain) region(zone int) *region {
 	for len(b.regions) <= zone {
 		b.regions = append(b.regions, &region{b: b, zone: len(b.regions), offers: map[int]*offer{},
-			shares: map[int]float64{}, rates: map[int]float64{}})
+			shares: map[int]float64{}, rates: map[int]float64{},
+			others: map[int]float64{}})
 	}
 	return b.regions[zone]
 }
@@ -392,6 +401,7 @@
 	price   float64 // the penalty lambda
 	speeds  histogram
 	views   []*view
+	planned []float64               // what each table brings
 	plans   [lagGathers + 1]float64 // what the tables of this and earlier gathers bring
 	misses  int                     // probes without an answer in a row
 	missAt  float64
@@ -443,7 +453,6 @@
 	out         bool
 	until, wait float64
 	trust       float64
-	plan        float64
 }
 
 func (e *endpoint) view(zone int) *view {
@@ -462,7 +471,10 @@
 	case Probed:
 		e.probed(n)
 	case plan:
-		e.view(n.zone).plan = n.rate
+		for len(e.planned) <= n.table {
+			e.planned = append(e.planned, 0)
+		}
+		e.planned[n.table] = n.rate
 	case gather:
 		e.gather(n)
 	}
@@ -585,7 +597,8 @@
 		if n.step {
 			e.judge(r, v)
 		}
-		r.post(offer{e.Endpoint, e.Zone, e.Machine, weight, e.price, pick(v.out, 0, v.trust), e.Phase == Ready, pick(fresh, e.load, n.mean), e.warmth()})
+		r.post(offer{e.Endpoint, e.Zone, e.Machine, weight, e.price, pick(v.out, 0, v.trust), e.Phase == Ready, pick(fresh, e.load, n.mean), fresh,
+			append([]float64(nil), e.planned...), e.warmth()})
 	}
 }
 
@@ -600,8 +613,8 @@
 // has yet to show. Without it the penalty swings, as it goes on acting on what it has already mended.
 func (e *endpoint) shift() float64 {
 	own := 0.0
-	for _, v := range e.views {
-		own += v.plan
+	for _, rate := range e.planned {
+		own += rate
 	}
 	then := e.plans[lagGathers]
 	copy(e.plans[1:], e.plans[:])
@@ -706,6 +719,7 @@
 	asked     []float64       // reqs by kind, halved each gather
 	shed      float64         // part of the reqs to be denied
 	rates     map[int]float64 // what each joined proxy ordinarily gets
+	others    map[int]float64 // the same of this pilot's proxies in other zones
 	demand    float64
 }
 
@@ -720,9 +734,16 @@
 	case metAt:
 		r.met(n)
 	case Joined:
-		r.rates[n.Proxy] = n.Rate
+		delete(r.rates, n.Proxy)
+		delete(r.others, n.Proxy)
+		if n.Zone == r.zone {
+			r.rates[n.Proxy] = n.Rate
+		} else {
+			r.others[n.Proxy] = n.Rate
+		}
 	case Left:
 		delete(r.rates, n.Proxy)
+		delete(r.others, n.Proxy)
 	case Demand:
 		if _, ours := r.rates[n.Proxy]; ours {
 			for len(r.asked) <= n.Kind {
@@ -768,28 +789,19 @@
 		r.failing = r.bad / math.Max(8, r.good+r.bad)
 		r.tries, r.good, r.bad = 0, r.good*0.6, r.bad*0.6
 	}
-	r.shares, r.demand = map[int]float64{}, 0
-	proxies := make([]int, 0, len(r.rates))
-	for p := range r.rates {
-		proxies = append(proxies, p)
-	}
-	sort.Ints(proxies)
-	for _, p := range proxies {
-		r.demand += r.rates[p]
-	}
+	r.shares, r.demand = map[int]float64{}, total(r.rates)
 	for g := range r.b.groups {
+		table, demand := r.zone*len(r.b.groups)+g, r.demand/float64(len(r.b.groups))
 		lines, own := r.candidates(&r.b.groups[g])
-		share(lines, own)
-		table := r.zone*len(r.b.groups) + g
+		r.foresee(lines, table)
+		share(lines, own, demand)
 		for _, l := range lines {
 			r.shares[l.be] += l.x / float64(len(r.b.groups))
 			r.b.desk.post(wish{table, l.be, l.x})
+			r.b.bes[l.be].post(plan{table, l.x * demand})
 		}
 	}
 	r.level()
-	for i, be := range r.b.bes {
-		be.post(plan{r.zone, r.shares[i] * r.demand})
-	}
 }
 
 // level denies part of the reqs while the endpoints that the tables use are overloaded on the whole: late answers
@@ -845,12 +857,49 @@
 	return order[:min(len(order), everyKind)]
 }
 
+// total sums in a fixed order.
+func total(rates map[int]float64) float64 {
+	sum := 0.0
+	for _, p := range slices.Sorted(maps.Keys(rates)) {
+		sum += rates[p]
+	}
+	return sum
+}
+
+// foresee tells each line what its endpoint could carry and what other tables bring it: reports come seconds after
+// a zone was overfilled, but demand and weights are known before. Loads that were heard scale it.
+func (r *region) foresee(lines []line, table int) {
+	weight, load := 1e-9, 0.0
+	for i := range r.b.bes {
+		if o := r.offers[i]; o != nil && o.ready && o.heard {
+			weight += o.weight
+			load += o.weight * o.load
+		}
+	}
+	all := r.demand + total(r.others)
+	part := 1.0
+	if byZone, _ := r.b.brief["by_zone"].(bool); !byZone {
+		part = math.Min(1, float64(len(r.rates)+len(r.others))/r.b.brief.num("proxy_count", 1))
+	}
+	for i := range lines {
+		l, o := &lines[i], r.offers[lines[i].be]
+		for t, rate := range o.planned {
+			l.before += pick(t != table, rate, 0)
+		}
+		if mean := load / weight; mean > 0 && all > 0 && o.heard {
+			l.room = o.weight * all / weight / (part * mean)
+			l.rest = (1 - part) * mean
+		}
+	}
+}
+
 // line is one endpoint in a solve.
 type line struct {
-	be                int
-	listed, cost, cap float64
-	x                 float64
-	own               bool
+	be                       int
+	listed, cost, cap, price float64
+	x                        float64
+	own                      bool
+	before, room, rest       float64 // reqs a second from other tables, and at full load; load by other pilots
 }
 
 // candidates lists the endpoints open to a group, with cost, listed share and cap. If all are out, all are in:
@@ -858,7 +907,7 @@
 func (r *region) candidates(g *kindGroup) ([]line, float64) {
 	var lines []line
 	home := r.home(g)
-	total, ownTotal, normal, trusted := 0.0, 0.0, 0.0, 0.0
+	sum, ownTotal, normal, trusted := 0.0, 0.0, 0.0, 0.0
 	for i := range r.b.bes {
 		o := r.offers[i]
 		if o == nil {
@@ -871,7 +920,7 @@
 		if o.ready && g.open(r.zone, o) {
 			l.listed, l.cost = o.weight, pick(l.own, 0, r.rank(o.zone))+o.price
 			l.cap = o.warmth * o.trust * pick(o.warmth < 1, 1-r.failing, 1)
-			total += o.weight
+			sum += o.weight
 			ownTotal += pick(l.own, o.weight, 0)
 			trusted += pick(o.warmth >= 1, o.trust, 0)
 		}
@@ -885,15 +934,15 @@
 		if trusted == 0 {
 			l.cap = r.offers[l.be].warmth
 		}
-		l.listed /= total
+		l.listed /= sum
 		if l.cap >= 1 {
 			l.cap = math.Inf(1)
 		} else {
-			l.cap *= l.listed * total / pick(l.own, ownTotal, total)
+			l.cap *= l.listed * sum / pick(l.own, ownTotal, sum)
 		}
 	}
 	r.shrink(lines)
-	return lines, normal / math.Max(total, 1e-9)
+	return lines, normal / math.Max(sum, 1e-9)
 }
 
 // home is the zone that serves a group as its own: the nearest one where any endpoint is open to it.
@@ -924,7 +973,7 @@
 }
 
 // share runs the projected-gradient loop from the listed shares.
-func share(lines []line, own float64) {
+func share(lines []line, own, demand float64) {
 	for i := range lines {
 		lines[i].x = lines[i].listed
 	}
@@ -934,11 +983,17 @@
 	for range steps {
 		mean := 0.0
 		for i := range lines {
-			mean += lines[i].x * lines[i].cost
+			l := &lines[i]
+			l.price = l.cost
+			if l.room > 0 {
+				load := l.rest + (l.before+demand*l.x)/l.room
+				l.price += foresight * math.Max(0, load*load-knee*knee)
+			}
+			mean += l.x * l.price
 		}
 		for i := range lines {
 			l := &lines[i]
-			l.x -= eta * l.listed * (l.cost - mean)
+			l.x -= eta * l.listed * (l.price - mean)
 		}
 		project(lines)
 	}
