--- a/brain/brain.go
+++ b/brain/brain.go
@@ -31,7 +31,7 @@
 	waitGrowth = 1.6
 	longWait   = 20000.0
 	crossing   = 2.75 // mean penalty at which a zone spills, for each point of the price of crossing
-	foresight  = 1.0  // weight of the load that a solve would bring
+	foresight  = 0.0  // weight of the load that a solve would bring
 	single     = 0.4  // weight of an endpoint's own penalty against the mean of its zone
 	full       = 0.9  // mean load at which reqs are denied
 	shedStep   = 0.06
@@ -590,7 +590,8 @@
 	}
 	weight := pick(e.Weight > 0, e.Weight, 1)
 	if own, mean := e.speed(), n.speed[e.class()]; own > 0 && mean > 0 {
-		weight *= math.Max(0.4, math.Min(2.5, own/mean))
+		seen, _ := e.speeds.sum()
+		weight *= math.Pow(math.Max(0.4, math.Min(2.5, own/mean)), seen/(seen+2))
 	}
 	for _, r := range e.b.regions {
 		v := e.view(r.zone)
@@ -629,7 +630,7 @@
 func (e *endpoint) speed() float64 {
 	if e.rate > 0 {
 		total, mean := e.speeds.sum()
-		return pick(total >= 4, mean, 0)
+		return pick(total >= 2, mean, 0)
 	}
 	return e.speeds.top()
 }
@@ -657,6 +658,9 @@
 // probe examines the endpoint where that is allowed, each pilot in turn.
 func (e *endpoint) probe() {
 	every := int(e.b.brief.num("instances", 1))
+	if seen, _ := e.speeds.sum(); seen < 8 {
+		every = 1
+	}
 	allowed, _ := e.b.brief["probing"].(bool)
 	if allowed && e.Phase == Ready && (e.b.gathers+e.Endpoint)%max(1, every) == 0 {
 		e.b.desk.post(probing{e.Endpoint})
