--- a/brain/brain.go
+++ b/brain/brain.go
@@ -31,7 +31,7 @@
 	waitGrowth = 1.6
 	longWait   = 20000.0
 	crossing   = 2.75 // mean penalty at which a zone spills, for each point of the price of crossing
-	foresight  = 0.0  // weight of the load that a solve would bring
+	priciest   = 2.0  // a penalty past every rank says no more, and would take long to come down
 	single     = 0.4  // weight of an endpoint's own penalty against the mean of its zone
 	full       = 0.9  // mean load at which reqs are denied
 	shedStep   = 0.06
@@ -82,8 +82,6 @@
 		weight, price, trust float64
 		ready                bool
 		load                 float64
-		heard                bool
-		planned              []float64
 		warmth               float64
 	}
 	solve struct{} // asks a region for new tables
@@ -381,8 +379,7 @@
 func (b *Brain) region(zone int) *region {
 	for len(b.regions) <= zone {
 		b.regions = append(b.regions, &region{b: b, zone: len(b.regions), offers: map[int]*offer{},
-			shares: map[int]float64{}, rates: map[int]float64{},
-			others: map[int]float64{}})
+			shares: map[int]float64{}, rates: map[int]float64{}})
 	}
 	return b.regions[zone]
 }
@@ -584,7 +581,7 @@
 	if n.step {
 		load *= e.shift()
 		target := math.Max(knee, n.mean) // when all are above it, only those above the mean pay
-		e.price = math.Max(0, e.price+theta*e.part()*(load*load-target*target))
+		e.price = math.Max(0, math.Min(priciest, e.price+theta*e.part()*(load*load-target*target)))
 		e.b.post(standing{e.class(), pick(fresh, e.load, -1), e.speed()})
 		e.probe()
 	}
@@ -598,8 +595,7 @@
 		if n.step {
 			e.judge(r, v)
 		}
-		r.post(offer{e.Endpoint, e.Zone, e.Machine, weight, e.price, pick(v.out, 0, v.trust), e.Phase == Ready, pick(fresh, e.load, n.mean), fresh,
-			append([]float64(nil), e.planned...), e.warmth()})
+		r.post(offer{e.Endpoint, e.Zone, e.Machine, weight, e.price, pick(v.out, 0, v.trust), e.Phase == Ready, pick(fresh, e.load, n.mean), e.warmth()})
 	}
 }
 
@@ -723,7 +719,6 @@
 	asked     []float64       // reqs by kind, halved each gather
 	shed      float64         // part of the reqs to be denied
 	rates     map[int]float64 // what each joined proxy ordinarily gets
-	others    map[int]float64 // the same of this pilot's proxies in other zones
 	demand    float64
 }
 
@@ -739,15 +734,11 @@
 		r.met(n)
 	case Joined:
 		delete(r.rates, n.Proxy)
-		delete(r.others, n.Proxy)
 		if n.Zone == r.zone {
 			r.rates[n.Proxy] = n.Rate
-		} else {
-			r.others[n.Proxy] = n.Rate
 		}
 	case Left:
 		delete(r.rates, n.Proxy)
-		delete(r.others, n.Proxy)
 	case Demand:
 		if _, ours := r.rates[n.Proxy]; ours {
 			for len(r.asked) <= n.Kind {
@@ -797,8 +788,7 @@
 	for g := range r.b.groups {
 		table, demand := r.zone*len(r.b.groups)+g, r.demand/float64(len(r.b.groups))
 		lines, own := r.candidates(&r.b.groups[g])
-		r.foresee(lines, table)
-		share(lines, own, demand)
+		share(lines, own)
 		for _, l := range lines {
 			r.shares[l.be] += l.x / float64(len(r.b.groups))
 			r.b.desk.post(wish{table, l.be, l.x})
@@ -870,40 +860,13 @@
 	return sum
 }
 
-// foresee tells each line what its endpoint could carry and what other tables bring it: reports come seconds after
-// a zone was overfilled, but demand and weights are known before. Loads that were heard scale it.
-func (r *region) foresee(lines []line, table int) {
-	weight, load := 1e-9, 0.0
-	for i := range r.b.bes {
-		if o := r.offers[i]; o != nil && o.ready && o.heard {
-			weight += o.weight
-			load += o.weight * o.load
-		}
-	}
-	all := r.demand + total(r.others)
-	part := 1.0
-	if byZone, _ := r.b.brief["by_zone"].(bool); !byZone {
-		part = math.Min(1, float64(len(r.rates)+len(r.others))/r.b.brief.num("proxy_count", 1))
-	}
-	for i := range lines {
-		l, o := &lines[i], r.offers[lines[i].be]
-		for t, rate := range o.planned {
-			l.before += pick(t != table, rate, 0)
-		}
-		if mean := load / weight; mean > 0 && all > 0 && o.heard {
-			l.room = o.weight * all / weight / (part * mean)
-			l.rest = (1 - part) * mean
-		}
-	}
-}
-
 // line is one endpoint in a solve.
 type line struct {
-	be                       int
-	listed, cost, cap, price float64
-	x                        float64
-	own                      bool
-	before, room, rest       float64 // reqs a second from other tables, and at full load; load by other pilots
+	be                 int
+	listed, cost, cap  float64
+	x                  float64
+	own                bool
+	before, room, rest float64 // reqs a second from other tables, and at full load; load by other pilots
 }
 
 // candidates lists the endpoints open to a group, with cost, listed share and cap. If all are out, all are in:
@@ -977,7 +940,7 @@
 }
 
 // share runs the projected-gradient loop from the listed shares.
-func share(lines []line, own, demand float64) {
+func share(lines []line, own float64) {
 	for i := range lines {
 		lines[i].x = lines[i].listed
 	}
@@ -987,17 +950,11 @@
 	for range steps {
 		mean := 0.0
 		for i := range lines {
-			l := &lines[i]
-			l.price = l.cost
-			if l.room > 0 {
-				load := l.rest + (l.before+demand*l.x)/l.room
-				l.price += foresight * math.Max(0, load*load-knee*knee)
-			}
-			mean += l.x * l.price
+			mean += lines[i].x * lines[i].cost
 		}
 		for i := range lines {
 			l := &lines[i]
-			l.x -= eta * l.listed * (l.price - mean)
+			l.x -= eta * l.listed * (l.cost - mean)
 		}
 		project(lines)
 	}
