--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,13 +1,15 @@
 package brain
 
-// Call New once with the seed and the terms received at start, then Handle with each moment's notes; it returns
-// the orders. The interface is port.go. docs/design.md gives the design (penalties, solve, spill, shared zone
-// tables, gathered differences, cold cap). Mechanisms beside the design:
+// Call New once with the seed and the terms received at start, then Handle with each moment's notes: it returns the
+// orders. The interface is port.go, the design with its reasons docs/design.md. Each endpoint, each zone of proxies
+// (region) and the channel (courier) is an actor with an inbox; one loop empties them in a fixed order.
+// Mechanisms beside the design:
 //  1. speed:   listed weights corrected by the speed that load reports show
-//  2. health:  an endpoint that fails or falls silent for a zone's proxies leaves that zone's tables
-//  3. return:  it comes back by a small trial share that doubles while answers are good
-//  4. thrift:  a model of the channel defers what can wait
-//  5. probes:  bounded probing where the site allows it
+//  2. health:  an endpoint that fails, falls silent or misses probes for a zone's proxies leaves their tables
+//  3. return:  it comes back on a small trial share that doubles while answers are good
+//  4. levels:  under overload the req kinds with the least payoff for their time are let in less
+//  5. thrift:  a model of the channel defers what can wait
+//  6. hindsight: load reports are brought up to date with the tables sent since they were made
 
 import (
 	"fmt"
@@ -19,26 +21,29 @@
 )
 
 const (
-	lagGathers = 3      // gathers until a report shows what a table changed
-	gatherMs   = 1000.0 // the gather window: reports are about a second apart and late
-	theta      = 0.4    // penalty gain
-	knee       = 0.75   // the load at which a penalty starts to grow (T)
-	reach      = 1.5    // how far the gradient loop goes, in units of the own zone's part
-	tolerance  = 0.15   // a line is sent again when it is off by this part
-	rankMargin = 1.3    // zones change rank when one answers this much sooner
-	trialPart  = 0.06   // share of its normal weight that an endpoint on trial gets
-	firstWait  = 4000.0 // first wait before a trial; grows by waitGrowth after each relapse
-	waitGrowth = 1.6
-	longWait   = 20000.0
-	crossing   = 2.75 // mean penalty at which a zone spills, for each point of the price of crossing
-	priciest   = 2.0  // a penalty past every rank says no more, and would take long to come down
-	single     = 0.4  // weight of an endpoint's own penalty against the mean of its zone
-	full       = 0.9  // mean load at which reqs are denied
-	shedStep   = 0.06
-	leastLevel = 0.1
-	calm       = 0.5    // weight of a new load report against the earlier ones
-	staleMs    = 5000.0 // a load report older than this counts as unheard
-	everyKind  = 31     // req kinds that a bit mask can name
+	gatherMs   = 1000.0  // the gather window: reports are about this far apart
+	theta      = 0.4     // penalty gain in a gather
+	knee       = 0.75    // T: the load at which a penalty starts to grow
+	priciest   = 2.0     // a penalty above every rank says no more, and a higher one would be slow to come down
+	single     = 0.4     // weight of an endpoint's own penalty against the mean of its zone: one report is noisy
+	reach      = 1.5     // length of the gradient loop, in units of the own zone's part
+	steps      = 24      // of the gradient loop
+	tolerance  = 0.15    // a line is sent again when it is off by this part
+	rankMargin = 1.3     // zones change rank when one answers this much sooner
+	rankStep   = 0.2     // cost between one zone and the next in rank
+	calm       = 0.5     // weight of a new load report against the earlier ones
+	staleMs    = 5000.0  // a load report older than this counts as unheard
+	lagGathers = 3       // gathers until a report shows what a table changed
+	trialPart  = 0.06    // share of its normal weight that an endpoint on trial gets
+	firstWait  = 4000.0  // wait before a trial; grows by waitGrowth with each relapse, to longWait at most
+	waitGrowth = 1.6     // see firstWait
+	longWait   = 20000.0 // see firstWait
+	dueAnswers = 8.0     // answers that must be missing before an endpoint counts as silent
+	full       = 0.9     // mean load of a region's tables above which reqs are denied
+	shedStep   = 0.06    // how fast that share moves in a gather
+	leastLevel = 0.1     // a req kind is never denied wholly
+	fade       = 0.6     // what a gather leaves of the counts before it
+	everyKind  = 31      // req kinds that a bit mask can name
 )
 
 // briefing is what the pilot was told at its start: a plain map of names to values.
@@ -52,6 +57,12 @@
 	return fallback
 }
 
+// yes reads a mark.
+func (t briefing) yes(name string) bool {
+	v, _ := t[name].(bool)
+	return v
+}
+
 // inbox holds the notes that wait for an actor.
 type inbox struct{ waiting []any }
 
@@ -66,122 +77,106 @@
 // post puts a note into an actor's inbox.
 func (i *inbox) post(note any) { i.waiting = append(i.waiting, note) }
 
-// The notes that the parts send each other.
+// gather asks an endpoint for its offers, in step when a gather window has passed.
+type gather struct {
+	mean  float64
+	speed map[int]float64
+	step  bool
+}
+
+// offer tells a region, or the pilot, on what terms an endpoint takes part.
+type offer struct {
+	Entry
+	class                             int // endpoints whose speeds compare
+	price, trust, load, speed, warmth float64
+	heard                             bool
+}
+
+// solve asks a region for new tables, flush the courier for its orders.
 type (
-	gather struct { // asks an endpoint for its offers; step: a gather window has passed
-		mean  float64
-		speed map[int]float64
-		step  bool
-	}
-	standing struct { // an endpoint tells the pilot its load and speed
-		machine     int
-		load, speed float64
-	}
-	offer struct { // an endpoint tells a region on what terms it takes part
-		be, zone, machine    int
-		weight, price, trust float64
-		ready                bool
-		load                 float64
-		warmth               float64
-	}
-	solve struct{} // asks a region for new tables
-	wish  struct {
-		table, be int
-		weight    float64
-	} // a region wants a line
-	shut struct {
-		be  int
-		out bool
-	} // an endpoint must leave or may enter all tables
-	probing struct{ be int }
-	plan    struct { // a region tells an endpoint what a table will bring, in reqs a second
-		table int
-		rate  float64
-	}
-	allow struct { // a region wants a level for the kinds of a mask
-		table, kinds int
-		level        float64
-	}
+	solve struct{}
 	flush struct{}
 )
 
+// metAt is a Met for a region, with the endpoint's zone.
+type metAt struct {
+	Met
+	zone int
+}
+
 // Brain is one pilot's decision maker.
 type Brain struct {
 	inbox
-	brief   briefing
-	seed    int64
-	draws   int
-	now     float64
-	bes     []*endpoint
-	regions []*region
-	desk    *courier
-	groups  []kindGroup
-	sliced  bool
-	woken   bool
-	loads   []standing
-	mean    float64
-	speed   map[int]float64
-	orders  []Order
-	gathers int
+	brief          briefing
+	seed           int64
+	draws, gathers int
+	now, mean      float64
+	woken          bool
+	bes            []*endpoint
+	regions        []*region
+	desk           *courier
+	groups         []kindGroup
+	heard          []offer
+	speed          map[int]float64
+	orders         []Order
 }
 
 // kindGroup is a set of req kinds with the same open endpoints.
 type kindGroup struct {
-	mask     int
-	machines []any
-	zones    []any
-	ownZone  bool
+	mask            int
+	machines, zones []any
+	ownZone         bool
 }
 
 // New makes a Brain from its seed and the terms received at start.
 func New(seed int64, terms map[string]any) *Brain {
 	b := &Brain{brief: terms, seed: seed, mean: knee / 2, speed: map[int]float64{}}
-	b.sliced = b.brief.num("slices", 0) > 0
 	b.groups = b.groupKinds()
-	b.desk = newCourier(b)
+	b.desk = &courier{b: b, tables: map[int]*table{}, proxies: map[int]*proxy{}}
 	return b
 }
 
+// kind returns what was told of a req kind.
+func (b *Brain) kind(i int) briefing {
+	kinds, _ := b.brief["req_kinds"].([]any)
+	if i >= len(kinds) {
+		return nil
+	}
+	m, _ := kinds[i].(map[string]any)
+	return m
+}
+
 // groupKinds puts req kinds with the same open endpoints together.
 func (b *Brain) groupKinds() []kindGroup {
 	var groups []kindGroup
 	seen := map[string]int{}
-	kinds, _ := b.brief["req_kinds"].([]any)
 	own, _ := b.brief["kind_own_zone"].([]any)
-	for i, k := range kinds {
-		m, _ := k.(map[string]any)
+	for i := 0; b.kind(i) != nil; i++ {
 		g := kindGroup{}
-		g.machines, _ = m["only_machines"].([]any)
-		g.zones, _ = m["only_zones"].([]any)
-		if i < len(own) {
-			g.ownZone, _ = own[i].(bool)
-		}
-		key := fmt.Sprint(g.machines, g.zones, g.ownZone)
+		g.machines, _ = b.kind(i)["only_machines"].([]any)
+		g.zones, _ = b.kind(i)["only_zones"].([]any)
+		g.ownZone = i < len(own) && own[i] == true
+		key := fmt.Sprint(g)
 		if _, ok := seen[key]; !ok {
 			seen[key] = len(groups)
 			groups = append(groups, g)
 		}
 		groups[seen[key]].mask |= 1 << (i % everyKind)
 	}
-	if len(groups) < 2 {
-		return []kindGroup{{ownZone: len(groups) == 1 && groups[0].ownZone}}
+	if len(groups) == 0 {
+		return make([]kindGroup, 1)
 	}
 	return groups
 }
 
-// open tells whether the group's reqs may go to an endpoint from a region.
+// open tells whether the group's reqs may go to an endpoint from a zone.
 func (g *kindGroup) open(zone int, o *offer) bool {
-	return (!g.ownZone || o.zone == zone) && holds(g.machines, o.machine) && holds(g.zones, o.zone)
+	return (!g.ownZone || o.Zone == zone) && holds(g.machines, o.Machine) && holds(g.zones, o.Zone)
 }
 
 // holds tells whether a list names an index; an empty list names all.
 func holds(list []any, index int) bool {
-	for _, v := range list {
-		if f, ok := v.(float64); ok && int(f) == index {
-			return true
-		}
-	}
-	return len(list) == 0
+	return len(list) == 0 || slices.Contains(list, any(float64(index)))
 }
 
 // chance draws a number in [0,1) from the seed and a counter.
@@ -191,19 +186,24 @@
 }
 
 // say logs a change of mode.
-func (b *Brain) say(format string, args ...any) {
-	b.orders = append(b.orders, Log{fmt.Sprintf(format, args...)})
+func (b *Brain) say(format string, args ...any) { b.order(Log{fmt.Sprintf(format, args...)}) }
+
+// order adds to the answer.
+func (b *Brain) order(o Order) { b.orders = append(b.orders, o) }
+
+// wake asks for an alarm after some time.
+func (b *Brain) wake(afterMs float64, name string) {
+	b.order(WakeAt{AtMs: b.now + afterMs, Name: name})
 }
 
 // Handle takes all notes of one moment and returns the orders they lead to.
 func (b *Brain) Handle(nowMs float64, notes []Note) []Order {
-	b.now = math.Max(b.now, nowMs)
-	b.orders = nil
+	b.now, b.orders = math.Max(b.now, nowMs), nil
+	sliced := b.brief.num("slices", 0) > 0
 	if !b.woken {
-		b.woken = true
-		b.begin()
+		b.begin(sliced)
 	}
-	if b.sliced {
+	if sliced {
 		return b.orders
 	}
 	for _, n := range notes {
@@ -216,22 +216,18 @@
 }
 
 // begin sets the clockwork going, each pilot at its own point of the window.
-func (b *Brain) begin() {
-	if b.sliced {
+func (b *Brain) begin(sliced bool) {
+	b.woken = true
+	if sliced {
 		b.say("slices are not planned: stored owners stay")
 		return
 	}
 	if b.brief["discovery"] == "on_request" {
-		b.orders = append(b.orders, Watch{On: true})
+		b.order(Watch{On: true})
 	}
 	b.wake(gatherMs*(0.5+b.chance()/2), "gather")
 }
 
-// wake asks for an alarm after some time.
-func (b *Brain) wake(afterMs float64, name string) {
-	b.orders = append(b.orders, WakeAt{AtMs: b.now + afterMs, Name: name})
-}
-
 // sort puts a note from outside into the inboxes it concerns.
 func (b *Brain) sort(n Note) {
 	switch n := n.(type) {
@@ -242,24 +238,34 @@
 	case Probed:
 		b.be(n.Endpoint).post(n)
 	case Met:
-		be := b.be(n.Endpoint)
-		be.post(n)
-		b.region(n.Zone).post(metAt{n, be.Zone, be.listed})
+		b.be(n.Endpoint).post(n)
+		b.region(n.Zone).post(metAt{n, b.be(n.Endpoint).Zone})
 	case Joined:
 		b.region(n.Zone)
-		for _, r := range b.regions {
-			r.post(n)
-		}
 		b.desk.post(n)
-	case Demand:
-		for _, r := range b.regions {
-			r.post(n)
-		}
+		b.tellRegions(n)
 	case Left:
-		for _, r := range b.regions {
-			r.post(n)
-		}
 		b.desk.post(n)
+		b.tellRegions(n)
+	case Demand:
+		b.tellRegions(n)
+	}
+}
+
+func (b *Brain) tellRegions(n any) {
+	for _, r := range b.regions {
+		r.post(n)
+	}
+}
+
+// alarm does what a timer was set for.
+func (b *Brain) alarm(name string) {
+	switch name {
+	case "gather":
+		b.wake(gatherMs, "gather")
+		b.round(true)
+	case "watch":
+		b.order(Watch{On: true})
 	}
 }
 
@@ -285,16 +291,6 @@
 	b.round(false)
 }
 
-func (b *Brain) alarm(name string) {
-	switch name {
-	case "gather":
-		b.wake(gatherMs, "gather")
-		b.round(true)
-	case "watch":
-		b.orders = append(b.orders, Watch{On: true})
-	}
-}
-
 // round asks all endpoints for offers, then all regions for tables.
 func (b *Brain) round(step bool) {
 	b.drain()
@@ -306,34 +302,29 @@
 		be.post(gather{b.mean, b.speed, step})
 	}
 	b.drain()
-	for _, r := range b.regions {
-		r.post(solve{})
-	}
+	b.tellRegions(solve{})
 }
 
-// average turns the standings of the last window into the mean load and each machine's mean speed.
+// average turns the offers of the last window into the mean load and the mean speed of each class.
 func (b *Brain) average() {
-	if len(b.loads) == 0 {
-		return
-	}
 	sum, n := 0.0, 0.0
 	logs, counts := map[int]float64{}, map[int]float64{}
-	for _, s := range b.loads {
-		if s.load >= 0 {
-			sum, n = sum+s.load, n+1
+	for _, o := range b.heard {
+		if o.heard {
+			sum, n = sum+o.load, n+1
 		}
-		if s.speed > 0 {
-			logs[s.machine] += math.Log(s.speed)
-			counts[s.machine]++
+		if o.speed > 0 {
+			logs[o.class] += math.Log(o.speed)
+			counts[o.class]++
 		}
 	}
 	if n > 0 {
 		b.mean = sum / n
 	}
-	for m, c := range counts {
-		b.speed[m] = math.Exp(logs[m] / c)
+	for class, count := range counts {
+		b.speed[class] = math.Exp(logs[class] / count)
 	}
-	b.loads = b.loads[:0]
+	b.heard = b.heard[:0]
 }
 
 // drain empties all inboxes, in a fixed order, until nothing waits.
@@ -360,14 +351,14 @@
 	return len(notes) > 0
 }
 
-// take collects the standings.
+// take collects the offers for the means.
 func (b *Brain) take(note any) {
-	if s, ok := note.(standing); ok {
-		b.loads = append(b.loads, s)
+	if o, ok := note.(offer); ok {
+		b.heard = append(b.heard, o)
 	}
 }
 
-// be returns the endpoint's actor, making room for it.
+// be returns an endpoint's actor, making room for it.
 func (b *Brain) be(i int) *endpoint {
 	for len(b.bes) <= i {
 		b.bes = append(b.bes, &endpoint{b: b, Entry: Entry{Endpoint: len(b.bes)}, load: -1, heard: -staleMs})
@@ -379,7 +370,7 @@
 func (b *Brain) region(zone int) *region {
 	for len(b.regions) <= zone {
 		b.regions = append(b.regions, &region{b: b, zone: len(b.regions), offers: map[int]*offer{},
-			shares: map[int]float64{}, rates: map[int]float64{}})
+			shares: map[int]float64{}, rates: map[int]float64{}, asked: map[int]float64{}, latency: map[int]float64{}})
 	}
 	return b.regions[zone]
 }
@@ -388,52 +379,57 @@
 type endpoint struct {
 	inbox
 	Entry
-	b       *Brain
-	listed  bool
-	out     bool
-	load    float64 // the last reported load, below 0 if none
-	heard   float64
-	first   float64 // when the first report came
-	rate    float64 // reqs a second by its report
-	price   float64 // the penalty lambda
-	speeds  histogram
-	views   []*view
-	planned []float64               // what each table brings
-	plans   [lagGathers + 1]float64 // what the tables of this and earlier gathers bring
-	misses  int                     // probes without an answer in a row
-	missAt  float64
-	probeOK float64
+	b                 *Brain
+	listed, out       bool
+	load, heard, rate float64 // of the last reports: load (below 0: none), when, reqs a second
+	first             float64 // when reports began
+	price             float64 // the penalty lambda
+	speeds            histogram
+	views             map[int]*view
+	misses            int // probes without an answer in a row, the first at missAt
+	missAt            float64
+	planned           map[int]float64         // reqs a second that each table brings
+	plans             [lagGathers + 1]float64 // their sum at this and earlier gathers
+}
+
+// view is what a zone's proxies see of an endpoint.
+type view struct {
+	good, bad, rate, lastGood float64 // answers and failures, fading; answers a second
+	out                       bool
+	until, wait, trust        float64
 }
 
 // histogram counts speeds in bins of half an octave, halved when full.
 type histogram struct{ bins [24]float64 }
 
 func (h *histogram) add(v float64) {
-	bin := int(math.Round(8 + 2*math.Log2(math.Max(v, 1e-9))))
-	h.bins[max(0, min(len(h.bins)-1, bin))]++
-	if total, _ := h.sum(); total > 24 {
+	h.bins[max(0, min(len(h.bins)-1, int(math.Round(8+2*math.Log2(math.Max(v, 1e-9))))))]++
+	if h.total() > 24 {
 		for i := range h.bins {
 			h.bins[i] /= 2
 		}
 	}
 }
 
-// sum returns how much is counted and the geometric mean.
-func (h *histogram) sum() (total, mean float64) {
-	for i, n := range h.bins {
-		total += n
-		mean += n * float64(i-8) / 2
+func (h *histogram) total() (sum float64) {
+	for _, n := range h.bins {
+		sum += n
 	}
-	if total > 0 {
-		mean = math.Exp2(mean / total)
+	return sum
+}
+
+// mean is the geometric mean, 0 while there are fewer than two counts.
+func (h *histogram) mean() float64 {
+	sum, total := 0.0, h.total()
+	for i, n := range h.bins {
+		sum += n * float64(i-8) / 2
 	}
-	return total, mean
+	return pick(total >= 2, math.Exp2(sum/math.Max(total, 1)), 0)
 }
 
-// top returns the speed that a fifth of the counts reach, 0 while they are few.
+// top is the speed that a fifth of the counts reach.
 func (h *histogram) top() float64 {
-	total, _ := h.sum()
-	over := 0.0
+	over, total := 0.0, h.total()
 	for i := len(h.bins) - 1; i >= 0 && total >= 4; i-- {
 		if over += h.bins[i]; over >= total/5 {
 			return math.Exp2(float64(i-8) / 2)
@@ -442,19 +438,19 @@
 	return 0
 }
 
-// view is what a zone's proxies see of an endpoint.
-type view struct {
-	good, bad   float64 // answers and failures, halved each gather
-	rate        float64 // own tries a second
-	lastGood    float64
-	out         bool
-	until, wait float64
-	trust       float64
+func pick(cond bool, yes, no float64) float64 {
+	if cond {
+		return yes
+	}
+	return no
 }
 
 func (e *endpoint) view(zone int) *view {
-	for len(e.views) <= zone {
-		e.views = append(e.views, &view{trust: 1, wait: firstWait, lastGood: e.b.now})
+	if e.views == nil {
+		e.views = map[int]*view{}
+	}
+	if e.views[zone] == nil {
+		e.views[zone] = &view{trust: 1, wait: firstWait, lastGood: e.b.now}
 	}
 	return e.views[zone]
 }
@@ -467,11 +463,11 @@
 		e.met(n)
 	case Probed:
 		e.probed(n)
-	case plan:
-		for len(e.planned) <= n.table {
-			e.planned = append(e.planned, 0)
+	case SetLine:
+		if e.planned == nil {
+			e.planned = map[int]float64{}
 		}
-		e.planned[n.table] = n.rate
+		e.planned[n.Table] = n.Weight
 	case gather:
 		e.gather(n)
 	}
@@ -480,53 +476,46 @@
 // relist takes over what the list says. A new start makes a new endpoint of it, cold and without a record.
 func (e *endpoint) relist(n Entry) {
 	if e.listed && n.Started != e.Started {
-		e.views, e.price, e.load, e.heard = nil, 0, -1, -staleMs
-		e.misses = 0
+		e.views, e.price, e.load, e.heard, e.misses = nil, 0, -1, -staleMs, 0
 	}
 	e.Entry, e.listed = n, true
 	if out := n.Phase != Ready; out != e.out {
 		e.out = out
-		e.b.desk.post(shut{n.Endpoint, out})
+		e.b.desk.post(Withdraw{n.Endpoint, out})
 	}
 }
 
 // met books what a zone's proxies met here.
 func (e *endpoint) met(n Met) {
 	v := e.view(n.Zone)
-	good := max(0, n.Tries-n.Failed)
-	v.good += float64(good)
-	v.bad += float64(n.Failed)
+	good := float64(max(0, n.Tries-n.Failed))
+	v.good, v.bad = v.good+good, v.bad+float64(n.Failed)
 	if good > 0 {
 		v.lastGood = e.b.now
 	}
 	if n.SpanMs > 0 {
-		v.rate = (v.rate + float64(good)*1000/n.SpanMs) / 2
+		v.rate = (v.rate + good*1000/n.SpanMs) / 2
 	}
 	e.report(n.Load)
 }
 
 // probed books a probe. Two unanswered ones in a row are a sign that nothing runs there.
 func (e *endpoint) probed(n Probed) {
-	switch n.Outcome {
-	case "T", "C":
-		if e.misses == 0 {
-			e.missAt = e.b.now
-		}
-		e.misses++
-	default:
-		e.misses, e.probeOK = 0, e.b.now
+	if n.Outcome != "T" && n.Outcome != "C" {
+		e.misses = 0
+	} else if e.misses++; e.misses == 1 {
+		e.missAt = e.b.now
 	}
 	e.report(n.Load)
 }
 
 // report reads a load report, whichever fields it has. Without util the load is that of the single queue which
-// would be as long as the reported one.
+// would be as long as the reported one, or what stretches service times as much as they are.
 func (e *endpoint) report(l Load) {
-	listed := math.Max(e.Weight, 1e-3)
 	if util, ok := l["util"]; ok {
 		e.hear(util)
 		if e.rate = l["rate"]; util > 0.15 && e.rate > 0 {
-			e.speeds.add(e.rate / util / listed)
+			e.speeds.add(e.rate / util / math.Max(e.Weight, 1e-3))
 		}
 		return
 	}
@@ -534,24 +523,18 @@
 	if !ok {
 		q, ok = l["in_hand"]
 	}
-	load := (math.Sqrt(q*q+4*q) - q) / 2
-	if ms := l["service_ms"]; ms > 0 {
-		if e.b.now-e.first > staleMs { // the first figures after a start are far too low
-			e.speeds.add(1000 / ms)
-		}
-		if base := e.base(); base > 0 {
-			slow := math.Max(0, base*ms/1000-1)
-			load = math.Max(load, 1-1/(1+2*slow))
-		}
+	load, ms := (math.Sqrt(q*q+4*q)-q)/2, l["service_ms"]
+	if base := math.Max(e.speed(), 0.7*e.b.speed[e.class()]); base > 0 && ms > 0 {
+		load = math.Max(load, 1-1/(1+2*math.Max(0, base*ms/1000-1)))
 	}
 	if ok {
 		e.hear(load)
 	}
+	if ms > 0 && e.b.now-e.first > staleMs { // the first figures after a start are far too low
+		e.speeds.add(1000 / ms)
+	}
 }
 
-// base is the speed of the unloaded endpoint: its own in its best times, or that of its like if it never had any.
-func (e *endpoint) base() float64 { return math.Max(e.speed(), 0.7*e.b.speed[e.class()]) }
-
 // hear takes a reported load into a mean over the last few reports: a single one jumps by half.
 func (e *endpoint) hear(load float64) {
 	if e.load < 0 || e.b.now-e.heard > staleMs {
@@ -561,11 +544,35 @@
 }
 
 // class tells which endpoints' speeds compare: all where capacity shows, else those of the same machine.
-func (e *endpoint) class() int {
-	if e.rate > 0 {
-		return -1
+func (e *endpoint) class() int { return int(pick(e.rate > 0, -1, float64(e.Machine))) }
+
+// speed is the endpoint's speed by its reports, at its best times where load slows the figure; 0 if not known.
+func (e *endpoint) speed() float64 { return pick(e.rate > 0, e.speeds.mean(), e.speeds.top()) }
+
+// hindsight is what a load report must be multiplied by: it was made under the tables of some gathers ago, and what
+// was changed since has yet to show. Without it the penalty goes on acting on what it has mended, and swings.
+func (e *endpoint) hindsight() float64 {
+	own, then := total(e.planned), e.plans[lagGathers]
+	copy(e.plans[1:], e.plans[:])
+	e.plans[0] = own
+	return pick(then > 0, 1+e.part()*(math.Max(0.25, math.Min(4, own/math.Max(then, 1e-9)))-1), 1)
+}
+
+// total sums in a fixed order.
+func total(rates map[int]float64) (sum float64) {
+	for _, k := range slices.Sorted(maps.Keys(rates)) {
+		sum += rates[k]
 	}
-	return e.Machine
+	return sum
+}
+
+// part is this pilot's part of the endpoint's load.
+func (e *endpoint) part() float64 {
+	own := 0.0
+	for _, r := range e.b.regions {
+		own += e.view(r.zone).rate
+	}
+	return pick(e.rate > 0, math.Max(0.25, math.Min(1, own/math.Max(e.rate, 1e-9))), 1/e.b.brief.num("instances", 1))
 }
 
 // gather steps the penalty and tells every region the terms.
@@ -573,165 +580,100 @@
 	if !e.listed {
 		return
 	}
-	fresh := e.b.now-e.heard < staleMs && e.load >= 0
-	load := n.mean
-	if fresh {
-		load = e.load
+	o := offer{Entry: e.Entry, class: e.class(), load: n.mean, speed: e.speed(), warmth: 1}
+	if o.heard = e.b.now-e.heard < staleMs && e.load >= 0; o.heard {
+		o.load = e.load
 	}
 	if n.step {
-		load *= e.shift()
-		target := math.Max(knee, n.mean) // when all are above it, only those above the mean pay
-		e.price = math.Max(0, math.Min(priciest, e.price+theta*e.part()*(load*load-target*target)))
-		e.b.post(standing{e.class(), pick(fresh, e.load, -1), e.speed()})
+		load := o.load * e.hindsight()
+		e.price = math.Max(0, math.Min(priciest, e.price+theta*e.part()*(load*load-knee*knee)))
+		e.b.post(o)
 		e.probe()
 	}
-	weight := pick(e.Weight > 0, e.Weight, 1)
-	if own, mean := e.speed(), n.speed[e.class()]; own > 0 && mean > 0 {
-		seen, _ := e.speeds.sum()
-		weight *= math.Pow(math.Max(0.4, math.Min(2.5, own/mean)), seen/(seen+2))
+	o.price, o.Weight = e.price, pick(e.Weight > 0, e.Weight, 1)
+	if mean := n.speed[o.class]; o.speed > 0 && mean > 0 {
+		seen := e.speeds.total()
+		o.Weight *= math.Pow(math.Max(0.4, math.Min(2.5, o.speed/mean)), seen/(seen+2))
+	}
+	if e.Started != 0 { // a cold endpoint warms over the stated span; a new one gets next to nothing
+		o.warmth = math.Max(0.01, math.Min(1, (e.b.now-e.Started)/e.b.brief.num("cold", 10000)))
 	}
 	for _, r := range e.b.regions {
 		v := e.view(r.zone)
 		if n.step {
 			e.judge(r, v)
 		}
-		r.post(offer{e.Endpoint, e.Zone, e.Machine, weight, e.price, pick(v.out, 0, v.trust), e.Phase == Ready, pick(fresh, e.load, n.mean), e.warmth()})
-	}
-}
-
-func pick(cond bool, yes, no float64) float64 {
-	if cond {
-		return yes
-	}
-	return no
-}
-
-// shift brings a report up to date: it was made under the tables of some gathers ago, and what was changed since
-// has yet to show. Without it the penalty swings, as it goes on acting on what it has already mended.
-func (e *endpoint) shift() float64 {
-	own := 0.0
-	for _, rate := range e.planned {
-		own += rate
-	}
-	then := e.plans[lagGathers]
-	copy(e.plans[1:], e.plans[:])
-	e.plans[0] = own
-	if then <= 0 {
-		return 1
-	}
-	return 1 + e.part()*(math.Max(0.25, math.Min(4, own/then))-1)
-}
-
-// speed is the endpoint's speed by its reports, 0 while they are few.
-func (e *endpoint) speed() float64 {
-	if e.rate > 0 {
-		total, mean := e.speeds.sum()
-		return pick(total >= 2, mean, 0)
-	}
-	return e.speeds.top()
-}
-
-// part is this pilot's part of the endpoint's load.
-func (e *endpoint) part() float64 {
-	own := 0.0
-	for _, v := range e.views {
-		own += v.rate
-	}
-	if e.rate <= 0 {
-		return 1 / e.b.brief.num("instances", 1)
-	}
-	return math.Max(0.25, math.Min(1, own/e.rate))
-}
-
-// warmth rises from 0 to 1 over the stated cold phase.
-func (e *endpoint) warmth() float64 {
-	if e.Started == 0 {
-		return 1
+		o.trust = pick(v.out, 0, v.trust)
+		r.post(o)
 	}
-	return math.Max(0.01, math.Min(1, (e.b.now-e.Started)/e.b.brief.num("cold", 10000)))
 }
 
-// probe examines the endpoint where that is allowed, each pilot in turn.
+// probe examines the endpoint where that is allowed, the pilots in turn.
 func (e *endpoint) probe() {
-	every := int(e.b.brief.num("instances", 1))
-	if seen, _ := e.speeds.sum(); seen < 8 {
-		every = 1
-	}
-	allowed, _ := e.b.brief["probing"].(bool)
-	if allowed && e.Phase == Ready && (e.b.gathers+e.Endpoint)%max(1, every) == 0 {
-		e.b.desk.post(probing{e.Endpoint})
+	every := int(pick(e.speeds.total() < 8, 1, e.b.brief.num("instances", 1)))
+	if e.b.brief.yes("probing") && e.Phase == Ready && (e.b.gathers+e.Endpoint)%max(1, every) == 0 {
+		e.b.order(Probe{Endpoint: e.Endpoint})
 	}
 }
 
-// judge weighs the symptoms that a zone's proxies show of this endpoint.
+// judge weighs the symptoms that a zone's proxies show of this endpoint: too many failures against what the others
+// do, answers that stop, probes that time out. It should catch whatever hides behind these, a hang, a lost machine
+// or a cut; it does harm where a healthy endpoint is only slow to be heard of, so the trial follows soon.
 func (e *endpoint) judge(r *region, v *view) {
-	b := e.b
-	switch {
-	case v.out:
-		if b.now >= v.until && e.misses == 0 {
-			v.out, v.trust, v.good, v.bad, v.lastGood = false, trialPart, 0, 0, b.now
-			b.say("endpoint %d zone %d: trial", e.Endpoint, r.zone)
+	now := e.b.now
+	if v.out {
+		if now >= v.until && e.misses == 0 {
+			*v = view{trust: trialPart, wait: v.wait, lastGood: now}
+			e.b.say("endpoint %d zone %d: trial", e.Endpoint, r.zone)
 		}
 		return
-	case e.Phase != Ready:
+	}
+	if e.Phase != Ready {
 		return
 	}
 	ratio := v.bad / math.Max(1, v.good+v.bad)
-	busy := e.load > knee && b.now-e.heard < staleMs // an overloaded endpoint is the penalty's business
+	busy := e.load > knee && now-e.heard < staleMs // overload is the penalty's business
 	failing := v.bad >= 3 && ratio > 0.3+1.5*r.failing && !busy
 	if v.trust < 1 {
 		failing = v.bad >= 2 && ratio > math.Max(0.5, r.failing)
 	}
-	due := math.Min(v.rate, r.rate*r.shares[e.Endpoint]) * (b.now - v.lastGood - r.lag()) / 1000
-	silent := due >= 8 && r.alive() || e.misses >= 2 && v.lastGood < e.missAt
+	due := math.Min(v.rate, r.rate*r.shares[e.Endpoint]) * (now - v.lastGood - 1500 - r.gap) / 1000
+	silent := due >= dueAnswers && now-r.last < 2*gatherMs || e.misses >= 2 && v.lastGood < e.missAt
 	if failing || silent {
-		b.say("endpoint %d zone %d: out, good %.1f bad %.1f due %.1f misses %d rest %.2f", e.Endpoint, r.zone,
+		e.b.say("endpoint %d zone %d: out, good %.1f bad %.1f due %.1f misses %d others fail %.2f", e.Endpoint, r.zone,
 			v.good, v.bad, due, e.misses, r.failing)
-		v.out, v.until = true, b.now+v.wait
-		v.wait = math.Min(longWait, v.wait*waitGrowth)
+		v.out, v.until, v.wait = true, now+v.wait, math.Min(longWait, v.wait*waitGrowth)
 	} else if v.trust < 1 && v.good >= 1 {
 		v.trust = math.Min(1, v.trust*2)
 	}
-	v.good, v.bad = v.good*0.6, v.bad*0.6
-}
-
-// metAt is a Met with the endpoint's zone.
-type metAt struct {
-	Met
-	to     int
-	listed bool
+	v.good, v.bad = v.good*fade, v.bad*fade
 }
 
 // region is the actor of one zone's proxies.
 type region struct {
 	inbox
-	b         *Brain
-	zone      int
-	offers    map[int]*offer
-	shares    map[int]float64 // what the tables send to each endpoint
-	rate      float64         // tries a second
-	failing   float64         // part of the tries that fail, over all endpoints
-	good, bad float64
-	tries     float64
-	latency   []float64
-	last      float64
-	gaps      float64
-	asked     []float64       // reqs by kind, halved each gather
-	shed      float64         // part of the reqs to be denied
-	rates     map[int]float64 // what each joined proxy ordinarily gets
-	demand    float64
-}
-
-// lag is how long an endpoint's line may be late when all is well.
-func (r *region) lag() float64 { return 1500 + r.gaps }
-
-// alive tells whether reports arrive at all.
-func (r *region) alive() bool { return r.b.now-r.last < 2*gatherMs }
+	b                *Brain
+	zone             int
+	offers           map[int]*offer
+	shares           map[int]float64 // what the tables send to each endpoint
+	rates            map[int]float64 // what each joined proxy ordinarily gets
+	latency          map[int]float64 // heard, by zone of the endpoints
+	asked            map[int]float64 // reqs by kind, fading
+	good, bad, fresh float64         // tries with and without an answer, fading; answers since the last gather
+	rate, failing    float64         // answers a second; part of the tries that fail
+	last, gap        float64         // when the last line came; mean span that a line covers
+	shed             float64         // part of the reqs to be denied
+}
 
 func (r *region) take(note any) {
 	switch n := note.(type) {
 	case metAt:
-		r.met(n)
+		good := float64(n.Tries - n.Failed)
+		r.good, r.fresh, r.bad = r.good+good, r.fresh+good, r.bad+float64(n.Failed)
+		r.last, r.gap = r.b.now, r.gap+(n.SpanMs-r.gap)/16
+		if old := r.latency[n.zone]; n.MeanMs > 0 {
+			r.latency[n.zone] += (n.MeanMs - old) * pick(old > 0, 0.125, 1)
+		}
 	case Joined:
 		delete(r.rates, n.Proxy)
 		if n.Zone == r.zone {
@@ -741,202 +683,109 @@
 		delete(r.rates, n.Proxy)
 	case Demand:
 		if _, ours := r.rates[n.Proxy]; ours {
-			for len(r.asked) <= n.Kind {
-				r.asked = append(r.asked, 0)
-			}
 			r.asked[n.Kind] += float64(n.Reqs)
 		}
 	case offer:
-		r.offers[n.be] = &n
+		r.offers[n.Endpoint] = &n
 	case solve:
 		r.solve()
 	}
 }
 
-// met books demand, failures and the way's length to a zone.
-func (r *region) met(n metAt) {
-	r.last = r.b.now
-	r.tries += float64(n.Tries - n.Failed)
-	r.good += float64(n.Tries - n.Failed)
-	r.bad += float64(n.Failed)
-	r.gaps += (n.SpanMs - r.gaps) / 16
-	for len(r.latency) <= n.to {
-		r.latency = append(r.latency, 0)
+// costs ranks the zones that a group can use: the nearest is as good as the own one, the others follow in the
+// order of the list, reordered where heard latency differs by a clear margin.
+func (r *region) costs(g *kindGroup) map[int]float64 {
+	var zones []int
+	n := len(r.b.regions)
+	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
+		if o := r.offers[i]; g.open(r.zone, o) && !slices.Contains(zones, o.Zone) {
+			zones = append(zones, o.Zone)
+		}
 	}
-	if n.MeanMs > 0 {
-		r.latency[n.to] += (n.MeanMs - r.latency[n.to]) / 8
+	sort.Slice(zones, func(i, j int) bool { return (zones[i]-r.zone+n)%n < (zones[j]-r.zone+n)%n })
+	for i := 2; i < len(zones); i++ {
+		for j := i; j > 1; j-- {
+			near, far := r.latency[zones[j]], r.latency[zones[j-1]]
+			if near > 0 && near*rankMargin < far {
+				zones[j], zones[j-1] = zones[j-1], zones[j]
+			}
+		}
 	}
-}
-
-// rank is the cost of a zone: 0 for the own one, then by heard latency, else in the order of the list.
-func (r *region) rank(zone int) float64 {
-	if zone == r.zone {
-		return 0
+	costs := map[int]float64{}
+	for i, z := range zones {
+		costs[z] = pick(i == 0, 0, 1+rankStep*float64(i-1))
 	}
-	n := len(r.b.regions)
-	return 1/reach + crossing*r.b.brief.num("cross_zone", 0.1) + 0.2*float64((zone-r.zone+n)%n-1)
+	return costs
 }
 
 // solve lays this region's tables, one for each group of req kinds.
 func (r *region) solve() {
 	if r.b.gathers > 0 {
-		r.rate += (r.tries*1000/gatherMs - r.rate) / 4
+		r.rate += (r.fresh*1000/gatherMs - r.rate) / 4
 		r.failing = r.bad / math.Max(8, r.good+r.bad)
-		r.tries, r.good, r.bad = 0, r.good*0.6, r.bad*0.6
+		r.fresh, r.good, r.bad = 0, r.good*fade, r.bad*fade
 	}
-	r.shares, r.demand = map[int]float64{}, total(r.rates)
+	clear(r.shares)
+	groups := len(r.b.groups)
 	for g := range r.b.groups {
-		table, demand := r.zone*len(r.b.groups)+g, r.demand/float64(len(r.b.groups))
 		lines, own := r.candidates(&r.b.groups[g])
 		share(lines, own)
 		for _, l := range lines {
-			r.shares[l.be] += l.x / float64(len(r.b.groups))
-			r.b.desk.post(wish{table, l.be, l.x})
-			r.b.bes[l.be].post(plan{table, l.x * demand})
+			r.shares[l.be] += l.x / float64(groups)
+			line := SetLine{Table: r.zone*groups + g, Endpoint: l.be, Weight: l.x}
+			r.b.desk.post(line)
+			line.Weight *= total(r.rates) / float64(groups)
+			r.b.bes[l.be].post(line)
 		}
 	}
 	r.level()
 }
 
-// level denies part of the reqs while the endpoints that the tables use are overloaded on the whole: late answers
-// earn next to nothing and keep the queues full. The kinds with the least payoff for their response target, which
-// stands for their work, go first.
-func (r *region) level() {
-	load, sum := 0.0, 0.0
-	for i := range r.b.bes {
-		if o := r.offers[i]; o != nil {
-			load += r.shares[i] * o.load
-			sum += r.shares[i]
-		}
-	}
-	load /= math.Max(sum, 1e-9)
-	before := r.shed
-	if load > full {
-		r.shed = math.Min(0.9, r.shed+shedStep*(1+2*r.failing))
-	} else if load < full-0.1 {
-		r.shed = math.Max(0, r.shed-shedStep/2)
-	}
-	if (before == 0) != (r.shed == 0) {
-		r.b.say("zone %d: denying %.2f, load %.2f failing %.2f", r.zone, r.shed, load, r.failing)
-	}
-	total := 1e-9
-	for k := range r.asked {
-		r.asked[k] *= 0.7
-		total += r.asked[k]
-	}
-	left := r.shed
-	for _, k := range r.b.byPayoff() {
-		level := 1.0
-		if k < len(r.asked) && left > 0 && r.asked[k] > 0 {
-			cut := math.Min(1-leastLevel, left*total/r.asked[k])
-			level, left = 1-cut, left-cut*r.asked[k]/total
-		}
-		for g, group := range r.b.groups {
-			if group.mask == 0 || group.mask&(1<<k) != 0 {
-				r.b.desk.post(allow{r.zone*len(r.b.groups) + g, 1 << k, level})
-			}
-		}
-	}
-}
-
-// byPayoff lists the req kinds, those with the least payoff for their response target first.
-func (b *Brain) byPayoff() []int {
-	kinds, _ := b.brief["req_kinds"].([]any)
-	order, worth := make([]int, len(kinds)), make([]float64, len(kinds))
-	for i, k := range kinds {
-		m, _ := k.(map[string]any)
-		order[i], worth[i] = i, briefing(m).num("payoff", 1)/briefing(m).num("response_target", 1000)
-	}
-	sort.SliceStable(order, func(i, j int) bool { return worth[order[i]] < worth[order[j]] })
-	return order[:min(len(order), everyKind)]
-}
-
-// total sums in a fixed order.
-func total(rates map[int]float64) float64 {
-	sum := 0.0
-	for _, p := range slices.Sorted(maps.Keys(rates)) {
-		sum += rates[p]
-	}
-	return sum
-}
-
 // line is one endpoint in a solve.
 type line struct {
-	be                 int
-	listed, cost, cap  float64
-	x                  float64
-	own                bool
-	before, room, rest float64 // reqs a second from other tables, and at full load; load by other pilots
+	be, zone             int
+	listed, cost, cap, x float64
 }
 
-// candidates lists the endpoints open to a group, with cost, listed share and cap. If all are out, all are in:
-// a line that may fail is better than none.
+// candidates lists the endpoints open to a group, with listed share, cost and cap, and the nearest zone's part of
+// all: what is missing there counts too, so that a zone short of endpoints spills. The cap keeps a cold endpoint, or
+// one on trial, at its part of the share it would have; the more the others fail the lower it is, as what fails is
+// tried again. If no warm one is trusted all are in: a line that may fail is better than none.
 func (r *region) candidates(g *kindGroup) ([]line, float64) {
 	var lines []line
-	home := r.home(g)
-	sum, ownTotal, normal, trusted := 0.0, 0.0, 0.0, 0.0
-	for i := range r.b.bes {
+	costs := r.costs(g)
+	sum, near, normal, trusted := 1e-9, 1e-9, 0.0, 0.0
+	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
 		o := r.offers[i]
-		if o == nil {
-			continue
-		}
-		l := line{be: i, own: o.zone == home}
-		if g.open(r.zone, o) && l.own {
-			normal += o.weight
-		}
-		if o.ready && g.open(r.zone, o) {
-			l.listed, l.cost = o.weight, pick(l.own, 0, r.rank(o.zone))+o.price
-			l.cap = o.warmth * o.trust * pick(o.warmth < 1, 1-r.failing, 1)
-			sum += o.weight
-			ownTotal += pick(l.own, o.weight, 0)
-			trusted += pick(o.warmth >= 1, o.trust, 0)
+		l := line{be: i, zone: o.Zone}
+		if g.open(r.zone, o) {
+			normal += pick(costs[o.Zone] == 0, o.Weight, 0)
+			if o.Phase == Ready {
+				l.listed, l.cost = o.Weight, costs[o.Zone]+o.price
+				sum += o.Weight
+				near += pick(costs[o.Zone] == 0, o.Weight, 0)
+				trusted += pick(o.warmth >= 1, o.trust, 0)
+			}
 		}
 		lines = append(lines, l)
 	}
+	mean, parts := map[int]float64{}, map[int]float64{}
+	for _, l := range lines {
+		mean[l.zone] += l.cost * l.listed
+		parts[l.zone] += l.listed
+	}
 	for i := range lines {
-		l := &lines[i]
+		l, o := &lines[i], r.offers[lines[i].be]
 		if l.listed == 0 {
 			continue
 		}
-		if trusted == 0 {
-			l.cap = r.offers[l.be].warmth
-		}
+		m := mean[l.zone] / parts[l.zone]
+		l.cost = m + single*(l.cost-m)
+		part := o.warmth * pick(trusted > 0, o.trust, 1)
+		l.cap = pick(part < 1, part*pick(o.warmth < 1, 1-r.failing, 1)*l.listed/pick(costs[l.zone] == 0, near, sum), 1)
 		l.listed /= sum
-		if l.cap >= 1 {
-			l.cap = math.Inf(1)
-		} else {
-			l.cap *= l.listed * sum / pick(l.own, ownTotal, sum)
-		}
-	}
-	r.shrink(lines)
-	return lines, normal / math.Max(sum, 1e-9)
-}
-
-// home is the zone that serves a group as its own: the nearest one where any endpoint is open to it.
-func (r *region) home(g *kindGroup) int {
-	home := -1
-	for i := range r.b.bes {
-		if o := r.offers[i]; o != nil && g.open(r.zone, o) && (home < 0 || r.rank(o.zone) < r.rank(home)) {
-			home = o.zone
-		}
-	}
-	return home
-}
-
-// shrink draws each cost towards the mean of its zone: that a zone is short shows clearly in the mean of its
-// endpoints, while one endpoint's reports are mostly noise.
-func (r *region) shrink(lines []line) {
-	sums, parts := map[int]float64{}, map[int]float64{}
-	for _, l := range lines {
-		zone := r.offers[l.be].zone
-		sums[zone] += l.cost * l.listed
-		parts[zone] += l.listed
-	}
-	for i, l := range lines {
-		if zone := r.offers[l.be].zone; parts[zone] > 0 {
-			lines[i].cost = sums[zone]/parts[zone] + single*(l.cost-sums[zone]/parts[zone])
-		}
 	}
+	return lines, normal / sum
 }
 
 // share runs the projected-gradient loop from the listed shares.
@@ -944,39 +793,33 @@
 	for i := range lines {
 		lines[i].x = lines[i].listed
 	}
-	const steps = 24
-	eta := reach / math.Max(own, 0.1) / steps
 	project(lines)
 	for range steps {
 		mean := 0.0
-		for i := range lines {
-			mean += lines[i].x * lines[i].cost
+		for _, l := range lines {
+			mean += l.x * l.cost
 		}
-		for i := range lines {
-			l := &lines[i]
-			l.x -= eta * l.listed * (l.cost - mean)
+		for i, l := range lines {
+			lines[i].x -= reach / math.Max(own, 0.1) / steps * l.listed * (l.cost - mean)
 		}
 		project(lines)
 	}
 	for i := range lines {
-		if lines[i].x < 0.004 {
-			lines[i].x = 0
-		}
+		lines[i].x = pick(lines[i].x < 0.004, 0, lines[i].x)
 	}
 }
 
-// project moves the shares to the nearest point where they sum to 1, none below 0 or above its cap, shifting each
-// in proportion to its listed share. Caps that leave too little room are widened together.
+// project moves the shares to where they sum to 1, none below 0 or above its cap, shifting each in proportion to its
+// listed share. Caps that leave too little room are widened together.
 func project(lines []line) {
 	room := 0.0
-	for i := range lines {
-		room += pick(lines[i].listed > 0, lines[i].cap, 0)
+	for _, l := range lines {
+		room += l.cap
 	}
-	widen := pick(room > 0 && room < 1, 1.0001/room, 1)
+	widen := pick(room > 0 && room < 1, 1.0001/math.Max(room, 1e-9), 1)
 	low, high := -8.0, 64.0
-	for range 50 {
-		mid := (low + high) / 2
-		sum := 0.0
+	for range 40 {
+		sum, mid := 0.0, (low+high)/2
 		for _, l := range lines {
 			sum += l.at(mid, widen)
 		}
@@ -986,58 +829,92 @@
 			high = mid
 		}
 	}
-	for i := range lines {
-		lines[i].x = lines[i].at(high, widen)
+	for i, l := range lines {
+		lines[i].x = l.at(high, widen)
 	}
 }
 
 // at is the line's share when the level is raised.
 func (l line) at(level, widen float64) float64 {
-	if l.listed == 0 {
-		return 0
-	}
 	return math.Max(0, math.Min(l.cap*widen, l.x+level*l.listed))
 }
 
+// level denies part of the reqs while the endpoints that the tables use are overloaded on the whole: late answers
+// earn next to nothing and keep the queues full. The kinds with the least payoff for their response target, which
+// stands for their work, go first.
+func (r *region) level() {
+	load, sum, before := 0.0, 1e-9, r.shed
+	for _, i := range slices.Sorted(maps.Keys(r.shares)) {
+		load += r.shares[i] * r.offers[i].load
+		sum += r.shares[i]
+	}
+	if load /= sum; load > full {
+		r.shed = math.Min(0.9, r.shed+shedStep*(1+2*r.failing))
+	} else if load < full-0.1 {
+		r.shed = math.Max(0, r.shed-shedStep/2)
+	}
+	if (before == 0) != (r.shed == 0) {
+		r.b.say("zone %d: denying %.2f, load %.2f failing %.2f", r.zone, r.shed, load, r.failing)
+	}
+	all, left := total(r.asked), r.shed
+	for _, k := range r.b.byPayoff() {
+		cut := 0.0
+		if r.asked[k] > 0 {
+			cut = math.Min(1-leastLevel, left*all/r.asked[k])
+			left -= cut * r.asked[k] / all
+			r.asked[k] *= fade
+		}
+		for g, group := range r.b.groups {
+			if group.mask&(1<<k) != 0 {
+				r.b.desk.post(Admit{Table: r.zone*len(r.b.groups) + g, Kinds: 1 << k, Level: 1 - cut})
+			}
+		}
+	}
+}
+
+// byPayoff lists the req kinds, those with the least payoff for their response target first.
+func (b *Brain) byPayoff() (order []int) {
+	for i := 0; b.kind(i) != nil && i < everyKind; i++ {
+		order = append(order, i)
+	}
+	worth := func(i int) float64 { return b.kind(i).num("payoff", 1) / b.kind(i).num("response_target", 1000) }
+	sort.SliceStable(order, func(i, j int) bool { return worth(order[i]) < worth(order[j]) })
+	return order
+}
+
 // courier is the actor that owns the channel: it knows what the proxies hold and what may wait.
 type courier struct {
 	inbox
-	b       *Brain
-	tables  map[int]*table
-	proxies map[int]*proxy
-	shuts   []shut
-	joins   []Joined
-	waiting float64 // lines that may still wait in the channel
-	at      float64
+	b           *Brain
+	tables      map[int]*table
+	proxies     map[int]*proxy
+	shuts       []Withdraw
+	joins       []int
+	waiting, at float64 // lines that may still wait in the channel, by a cautious guess, and when that was
 }
 
+// table holds lines by endpoint, as sent and as wanted, and levels by kind mask.
 type table struct{ sent, want, levels, admits map[int]float64 }
 
+// proxy is a joined proxy with the times of the messages it was sent.
 type proxy struct {
 	zone  int
 	sends []float64
 }
 
-func newCourier(b *Brain) *courier {
-	return &courier{b: b, tables: map[int]*table{}, proxies: map[int]*proxy{}}
-}
-
 func (c *courier) take(note any) {
 	switch n := note.(type) {
-	case wish:
-		t := c.table(n.table)
-		t.want[n.be] = n.weight
-	case allow:
-		c.table(n.table).levels[n.kinds] = n.level
-	case shut:
+	case SetLine:
+		c.table(n.Table).want[n.Endpoint] = n.Weight
+	case Admit:
+		c.table(n.Table).levels[n.Kinds] = n.Level
+	case Withdraw:
 		c.shuts = append(c.shuts, n)
 	case Joined:
 		c.proxies[n.Proxy] = &proxy{zone: n.Zone}
-		c.joins = append(c.joins, n)
+		c.joins = append(c.joins, n.Proxy)
 	case Left:
 		delete(c.proxies, n.Proxy)
-	case probing:
-		c.b.orders = append(c.b.orders, Probe{Endpoint: n.be})
 	case flush:
 		c.flush()
 	}
@@ -1050,130 +927,112 @@
 	return c.tables[i]
 }
 
-// flush writes what is due: drains first, then differences, then the tables of proxies that joined.
+// flush writes what is due: drains first, then differences, then the tables of proxies that joined. An endpoint that
+// returns is let in only after its lines are small.
 func (c *courier) flush() {
-	pace := c.b.brief.num("lines_per_s", 1000)
-	c.waiting = math.Max(0, c.waiting-(c.b.now-c.at)*pace/2000)
+	c.waiting = math.Max(0, c.waiting-(c.b.now-c.at)*c.b.brief.num("lines_per_s", 1000)/2000)
 	c.at = c.b.now
-	for _, s := range c.shuts {
-		if s.out {
-			c.write(Withdraw{s.be, true}, -1, 1)
+	for _, out := range []bool{true, false} {
+		for _, s := range c.shuts {
+			if s.Out == out {
+				c.write(s, -1)
+			}
 		}
-	}
-	n := len(c.b.regions) * len(c.b.groups)
-	for i := 0; i < n; i++ {
-		c.push(i)
-		c.admit(i)
-	}
-	for _, s := range c.shuts {
-		if !s.out {
-			c.write(Withdraw{s.be, false}, -1, 1)
+		for i := 0; out && i < len(c.b.regions)*len(c.b.groups); i++ {
+			c.push(i)
+			c.admit(i)
 		}
 	}
-	c.shuts = nil
-	for _, j := range c.joins {
-		c.bind(j)
+	for _, p := range c.joins {
+		c.bind(p)
 	}
-	c.joins = nil
+	c.shuts, c.joins = nil, nil
 }
 
 // bind puts a proxy that joined on its zone's tables.
-func (c *courier) bind(j Joined) {
-	p := c.proxies[j.Proxy]
+func (c *courier) bind(name int) {
+	p := c.proxies[name]
 	if p == nil {
 		return
 	}
 	for g, group := range c.b.groups {
 		i := p.zone*len(c.b.groups) + g
-		c.b.orders = append(c.b.orders, Bind{Table: i, Proxy: j.Proxy, Kinds: group.mask})
-		c.waiting += float64(len(c.table(i).sent)+len(c.table(i).admits)) + 1
+		c.b.order(Bind{Table: i, Proxy: name, Kinds: group.mask})
+		c.waiting += float64(len(c.table(i).sent) + len(c.table(i).admits) + 1)
 	}
 	c.waiting += c.b.brief.num("head_lines", 4)
 	p.sends = append(p.sends, c.b.now)
 }
 
-// push writes a table's differences, if any are worth it and the channel has room.
+// push writes a table's differences, if any are worth it and the channel has room. Lines that must go, and a table's
+// first, don't wait for room. New lines come before removals: a table never runs empty on the way.
 func (c *courier) push(i int) {
 	t := c.table(i)
-	var due []int
-	urgent := false
-	for be, want := range t.want {
-		sent := t.sent[be]
-		if sent == want || math.Abs(sent-want) <= tolerance*math.Max(sent, want) {
+	var add, remove []int
+	for _, be := range slices.Sorted(maps.Keys(t.want)) {
+		want, sent := t.want[be], t.sent[be]
+		if math.IsNaN(want) || math.Abs(sent-want) <= tolerance*math.Max(sent, want) {
 			continue
 		}
-		due = append(due, be)
-		urgent = urgent || want == 0 || len(t.sent) == 0
-	}
-	if len(due) == 0 {
-		return
+		if want > 0 {
+			add = append(add, be)
+		} else {
+			remove = append(remove, be)
+		}
 	}
-	sort.Ints(due)
 	zone := i / len(c.b.groups)
-	if !urgent && !c.room(zone, len(due)) {
+	if len(remove) == 0 && len(t.sent) > 0 && !c.room(zone, len(add)) {
 		return
 	}
-	// New lines before removals: a table never runs empty on the way.
-	for _, adding := range []bool{true, false} {
-		for _, be := range due {
-			if (t.want[be] > 0) == adding {
-				c.write(SetLine{Table: i, Endpoint: be, Weight: t.want[be]}, zone, 1)
-				if adding {
-					t.sent[be] = t.want[be]
-				} else {
-					delete(t.sent, be)
-				}
-			}
+	for _, be := range append(add, remove...) {
+		c.write(SetLine{Table: i, Endpoint: be, Weight: t.want[be]}, zone)
+		if t.sent[be] = t.want[be]; t.sent[be] == 0 {
+			delete(t.sent, be)
 		}
 	}
 }
 
-// admit writes a table's levels that have changed enough.
+// admit writes a table's levels that have changed enough. Tries again stay as proxies make them unasked: once, after
+// proof that the first never ran, which is safe for every req kind.
 func (c *courier) admit(i int) {
 	t := c.table(i)
 	if c.b.brief["admission"] != "share" {
 		return
 	}
-	for k := 0; k < everyKind; k++ {
-		level, ok := t.levels[1<<k]
-		sent, was := t.admits[1<<k]
-		if sent = pick(was, sent, 1); !ok || sent == level || math.Abs(sent-level) < 0.06 && level < 1 {
-			continue
+	for _, k := range slices.Sorted(maps.Keys(t.levels)) {
+		sent, was := t.admits[k]
+		if sent = pick(was, sent, 1); math.Abs(sent-t.levels[k]) >= pick(t.levels[k] < 1, 0.06, 1e-9) {
+			t.admits[k] = t.levels[k]
+			again := int(c.b.brief.num("retry_default", 0))
+			c.write(Admit{Table: i, Kinds: k, Again: again, Level: t.levels[k]}, i/len(c.b.groups))
 		}
-		t.admits[1<<k] = level
-		c.write(Admit{Table: i, Kinds: 1 << k, Again: int(c.b.brief.num("retry_default", 0)), Level: level},
-			i/len(c.b.groups), 1)
 	}
 }
 
 // room tells whether the channel and the proxies' message counts leave room for what can wait.
 func (c *courier) room(zone, lines int) bool {
-	most := c.b.brief.num("messages_most", math.Inf(1))
-	span := c.b.brief.num("messages_over", 10000)
+	most, span := c.b.brief.num("messages_most", math.Inf(1)), c.b.brief.num("messages_over", 10000)
 	cost := 0.0
 	for _, p := range c.proxies {
-		if p.zone != zone {
-			continue
-		}
 		for len(p.sends) > 0 && p.sends[0] < c.b.now-span {
 			p.sends = p.sends[1:]
 		}
-		if float64(len(p.sends)) >= most/2 {
+		if p.zone == zone && float64(len(p.sends)) >= most/2 {
 			return false
 		}
-		cost += float64(lines) + c.b.brief.num("head_lines", 4)
+		cost += pick(p.zone == zone, float64(lines)+c.b.brief.num("head_lines", 4), 0)
 	}
 	return c.waiting+cost < c.b.brief.num("backlog", 1000)/3
 }
 
-// write gives an order and books its lines for the proxies of a zone (or all, below 0).
-func (c *courier) write(o Order, zone int, lines float64) {
-	c.b.orders = append(c.b.orders, o)
+// write gives an order and books its line for the proxies of a zone (all, below 0).
+func (c *courier) write(o Order, zone int) {
+	c.b.order(o)
 	for _, p := range c.proxies {
 		if zone >= 0 && p.zone != zone {
 			continue
 		}
-		c.waiting += lines
+		c.waiting++
 		if n := len(p.sends); n == 0 || p.sends[n-1] != c.b.now {
 			p.sends = append(p.sends, c.b.now)
 			c.waiting += c.b.brief.num("head_lines", 4)
