--- a/brain/brain.go
+++ b/brain/brain.go
@@ -13,7 +13,6 @@
 
 import (
 	"fmt"
-	"hash/crc32"
 	"maps"
 	"math"
 	"slices"
@@ -57,12 +56,6 @@
 	return fallback
 }
 
-// yes reads a mark.
-func (t briefing) yes(name string) bool {
-	v, _ := t[name].(bool)
-	return v
-}
-
 // inbox holds the notes that wait for an actor.
 type inbox struct{ waiting []any }
 
@@ -79,9 +72,8 @@
 
 // gather asks an endpoint for its offers, in step when a gather window has passed.
 type gather struct {
-	mean  float64
-	speed map[int]float64
-	step  bool
+	step        bool
+	mean, speed float64 // of all loads, and of the speeds in the endpoint's class
 }
 
 // offer tells a region, or the pilot, on what terms an endpoint takes part.
@@ -98,27 +90,20 @@
 	flush struct{}
 )
 
-// metAt is a Met for a region, with the endpoint's zone.
-type metAt struct {
-	Met
-	zone int
-}
-
 // Brain is one pilot's decision maker.
 type Brain struct {
 	inbox
-	brief          briefing
-	seed           int64
-	draws, gathers int
-	now, mean      float64
-	woken          bool
-	bes            []*endpoint
-	regions        []*region
-	desk           *courier
-	groups         []kindGroup
-	heard          []offer
-	speed          map[int]float64
-	orders         []Order
+	brief     briefing
+	gathers   int
+	now, mean float64
+	woken     bool
+	bes       []*endpoint
+	regions   []*region
+	actors    []actor
+	desk      *courier
+	groups    []kindGroup
+	speeds    map[int]*histogram // by class
+	orders    []Order
 }
 
 // kindGroup is a set of req kinds with the same open endpoints.
@@ -130,9 +115,10 @@
 
 // New makes a Brain from its seed and the terms received at start.
 func New(seed int64, terms map[string]any) *Brain {
-	b := &Brain{brief: terms, seed: seed, mean: knee / 2, speed: map[int]float64{}}
+	b := &Brain{brief: terms, mean: knee / 2, speeds: map[int]*histogram{}}
 	b.groups = b.groupKinds()
 	b.desk = &courier{b: b, tables: map[int]*table{}, proxies: map[int]*proxy{}}
+	b.actors = []actor{b, b.desk}
 	return b
 }
 
@@ -179,33 +165,33 @@
 	return len(list) == 0 || slices.Contains(list, any(float64(index)))
 }
 
-// chance draws a number in [0,1) from the seed and a counter.
-func (b *Brain) chance() float64 {
-	b.draws++
-	return float64(crc32.ChecksumIEEE(fmt.Appendf(nil, "%d/%d", b.seed, b.draws))) / (1 << 32)
-}
-
 // say logs a change of mode.
 func (b *Brain) say(format string, args ...any) { b.order(Log{fmt.Sprintf(format, args...)}) }
 
 // order adds to the answer.
 func (b *Brain) order(o Order) { b.orders = append(b.orders, o) }
 
-// wake asks for an alarm after some time.
-func (b *Brain) wake(afterMs float64, name string) {
-	b.order(WakeAt{AtMs: b.now + afterMs, Name: name})
-}
+// wake asks for the next gather.
+func (b *Brain) wake(afterMs float64) { b.order(WakeAt{AtMs: b.now + afterMs, Name: "gather"}) }
 
 // Handle takes all notes of one moment and returns the orders they lead to.
 func (b *Brain) Handle(nowMs float64, notes []Note) []Order {
 	b.now, b.orders = math.Max(b.now, nowMs), nil
-	sliced := b.brief.num("slices", 0) > 0
-	if !b.woken {
-		b.begin(sliced)
-	}
-	if sliced {
+	if b.brief.num("slices", 0) > 0 {
+		if !b.woken {
+			b.say("slices are not planned: stored owners stay")
+		}
+		b.woken = true
 		return b.orders
 	}
+	if !b.woken { // each pilot gathers at its own point of the window
+		b.woken = true
+		rank, _ := b.brief["rank"].(float64)
+		b.wake(gatherMs * (1 + rank/b.brief.num("instances", 1)) / 2)
+		if b.brief["discovery"] == "on_request" {
+			b.order(Watch{On: true})
+		}
+	}
 	for _, n := range notes {
 		b.sort(n)
 	}
@@ -215,31 +201,18 @@
 	return b.orders
 }
 
-// begin sets the clockwork going, each pilot at its own point of the window.
-func (b *Brain) begin(sliced bool) {
-	b.woken = true
-	if sliced {
-		b.say("slices are not planned: stored owners stay")
-		return
-	}
-	if b.brief["discovery"] == "on_request" {
-		b.order(Watch{On: true})
-	}
-	b.wake(gatherMs*(0.5+b.chance()/2), "gather")
-}
-
 // sort puts a note from outside into the inboxes it concerns.
 func (b *Brain) sort(n Note) {
 	switch n := n.(type) {
 	case Listing:
 		b.list(n)
 	case Alarm:
-		b.alarm(n.Name)
+		b.round(true)
 	case Probed:
 		b.be(n.Endpoint).post(n)
 	case Met:
 		b.be(n.Endpoint).post(n)
-		b.region(n.Zone).post(metAt{n, b.be(n.Endpoint).Zone})
+		b.region(n.Zone).post(n)
 	case Joined:
 		b.region(n.Zone)
 		b.desk.post(n)
@@ -258,21 +231,10 @@
 	}
 }
 
-// alarm does what a timer was set for.
-func (b *Brain) alarm(name string) {
-	switch name {
-	case "gather":
-		b.wake(gatherMs, "gather")
-		b.round(true)
-	case "watch":
-		b.order(Watch{On: true})
-	}
-}
-
 // list applies a listing; what a whole list no longer names is gone.
 func (b *Brain) list(l Listing) {
 	if l.Mode == ListFailed {
-		b.wake(gatherMs*(1+b.chance()), "watch")
+		b.order(Watch{On: true})
 		return
 	}
 	named := map[int]bool{}
@@ -296,72 +258,54 @@
 	b.drain()
 	if step {
 		b.gathers++
-		b.average()
+		b.wake(gatherMs)
 	}
 	for _, be := range b.bes {
-		be.post(gather{b.mean, b.speed, step})
+		be.post(gather{step, b.mean, b.classOf(be.class()).mean()})
 	}
 	b.drain()
 	b.tellRegions(solve{})
 }
 
-// average turns the offers of the last window into the mean load and the mean speed of each class.
-func (b *Brain) average() {
-	sum, n := 0.0, 0.0
-	logs, counts := map[int]float64{}, map[int]float64{}
-	for _, o := range b.heard {
-		if o.heard {
-			sum, n = sum+o.load, n+1
-		}
-		if o.speed > 0 {
-			logs[o.class] += math.Log(o.speed)
-			counts[o.class]++
-		}
-	}
-	if n > 0 {
-		b.mean = sum / n
-	}
-	for class, count := range counts {
-		b.speed[class] = math.Exp(logs[class] / count)
-	}
-	b.heard = b.heard[:0]
-}
-
 // drain empties all inboxes, in a fixed order, until nothing waits.
 func (b *Brain) drain() {
 	for busy := true; busy; {
-		busy = empty(b)
-		for _, be := range b.bes {
-			busy = empty(be) || busy
-		}
-		for _, r := range b.regions {
-			busy = empty(r) || busy
+		busy = false
+		for i := 0; i < len(b.actors); i++ {
+			notes := b.actors[i].box().waiting
+			b.actors[i].box().waiting = nil
+			for _, n := range notes {
+				b.actors[i].take(n)
+				busy = true
+			}
 		}
-		busy = empty(b.desk) || busy
 	}
 }
 
-// empty hands an actor what waits in its inbox.
-func empty(a actor) bool {
-	notes := a.box().waiting
-	a.box().waiting = nil
-	for _, n := range notes {
-		a.take(n)
+// take keeps the mean load and the speeds of each class.
+func (b *Brain) take(note any) {
+	if o, ok := note.(offer); ok && o.heard {
+		b.mean += (o.load - b.mean) / float64(len(b.bes)+1)
+		if o.speed > 0 {
+			b.classOf(o.class).add(o.speed)
+		}
 	}
-	return len(notes) > 0
 }
 
-// take collects the offers for the means.
-func (b *Brain) take(note any) {
-	if o, ok := note.(offer); ok {
-		b.heard = append(b.heard, o)
+// classOf returns the speeds of the endpoints that compare.
+func (b *Brain) classOf(class int) *histogram {
+	if b.speeds[class] == nil {
+		b.speeds[class] = &histogram{}
 	}
+	return b.speeds[class]
 }
 
 // be returns an endpoint's actor, making room for it.
 func (b *Brain) be(i int) *endpoint {
 	for len(b.bes) <= i {
-		b.bes = append(b.bes, &endpoint{b: b, Entry: Entry{Endpoint: len(b.bes)}, load: -1, heard: -staleMs})
+		b.bes = append(b.bes, &endpoint{b: b, Entry: Entry{Endpoint: len(b.bes)}, load: -1, heard: -staleMs,
+			views: map[int]*view{}, planned: map[int]float64{}})
+		b.actors = append(b.actors, b.bes[len(b.bes)-1])
 	}
 	return b.bes[i]
 }
@@ -371,6 +315,7 @@
 	for len(b.regions) <= zone {
 		b.regions = append(b.regions, &region{b: b, zone: len(b.regions), offers: map[int]*offer{},
 			shares: map[int]float64{}, rates: map[int]float64{}, asked: map[int]float64{}, latency: map[int]float64{}})
+		b.actors = append(b.actors, b.regions[len(b.regions)-1])
 	}
 	return b.regions[zone]
 }
@@ -427,17 +372,6 @@
 	return pick(total >= 2, math.Exp2(sum/math.Max(total, 1)), 0)
 }
 
-// top is the speed that a fifth of the counts reach.
-func (h *histogram) top() float64 {
-	over, total := 0.0, h.total()
-	for i := len(h.bins) - 1; i >= 0 && total >= 4; i-- {
-		if over += h.bins[i]; over >= total/5 {
-			return math.Exp2(float64(i-8) / 2)
-		}
-	}
-	return 0
-}
-
 func pick(cond bool, yes, no float64) float64 {
 	if cond {
 		return yes
@@ -446,9 +380,6 @@
 }
 
 func (e *endpoint) view(zone int) *view {
-	if e.views == nil {
-		e.views = map[int]*view{}
-	}
 	if e.views[zone] == nil {
 		e.views[zone] = &view{trust: 1, wait: firstWait, lastGood: e.b.now}
 	}
@@ -464,9 +395,6 @@
 	case Probed:
 		e.probed(n)
 	case SetLine:
-		if e.planned == nil {
-			e.planned = map[int]float64{}
-		}
 		e.planned[n.Table] = n.Weight
 	case gather:
 		e.gather(n)
@@ -476,7 +404,8 @@
 // relist takes over what the list says. A new start makes a new endpoint of it, cold and without a record.
 func (e *endpoint) relist(n Entry) {
 	if e.listed && n.Started != e.Started {
-		e.views, e.price, e.load, e.heard, e.misses = nil, 0, -1, -staleMs, 0
+		clear(e.views)
+		e.price, e.load, e.heard, e.misses = 0, -1, -staleMs, 0
 	}
 	e.Entry, e.listed = n, true
 	if out := n.Phase != Ready; out != e.out {
@@ -510,7 +439,7 @@
 }
 
 // report reads a load report, whichever fields it has. Without util the load is that of the single queue which
-// would be as long as the reported one, or what stretches service times as much as they are.
+// would be as long as the reported one.
 func (e *endpoint) report(l Load) {
 	if util, ok := l["util"]; ok {
 		e.hear(util)
@@ -523,14 +452,10 @@
 	if !ok {
 		q, ok = l["in_hand"]
 	}
-	load, ms := (math.Sqrt(q*q+4*q)-q)/2, l["service_ms"]
-	if base := math.Max(e.speed(), 0.7*e.b.speed[e.class()]); base > 0 && ms > 0 {
-		load = math.Max(load, 1-1/(1+2*math.Max(0, base*ms/1000-1)))
-	}
 	if ok {
-		e.hear(load)
+		e.hear((math.Sqrt(q*q+4*q) - q) / 2)
 	}
-	if ms > 0 && e.b.now-e.first > staleMs { // the first figures after a start are far too low
+	if ms := l["service_ms"]; ms > 0 && e.b.now-e.first > staleMs { // the first figures after a start are far too low
 		e.speeds.add(1000 / ms)
 	}
 }
@@ -546,9 +471,6 @@
 // class tells which endpoints' speeds compare: all where capacity shows, else those of the same machine.
 func (e *endpoint) class() int { return int(pick(e.rate > 0, -1, float64(e.Machine))) }
 
-// speed is the endpoint's speed by its reports, at its best times where load slows the figure; 0 if not known.
-func (e *endpoint) speed() float64 { return pick(e.rate > 0, e.speeds.mean(), e.speeds.top()) }
-
 // hindsight is what a load report must be multiplied by: it was made under the tables of some gathers ago, and what
 // was changed since has yet to show. Without it the penalty goes on acting on what it has mended, and swings.
 func (e *endpoint) hindsight() float64 {
@@ -580,7 +502,7 @@
 	if !e.listed {
 		return
 	}
-	o := offer{Entry: e.Entry, class: e.class(), load: n.mean, speed: e.speed(), warmth: 1}
+	o := offer{Entry: e.Entry, class: e.class(), load: n.mean, speed: e.speeds.mean(), warmth: 1}
 	if o.heard = e.b.now-e.heard < staleMs && e.load >= 0; o.heard {
 		o.load = e.load
 	}
@@ -591,9 +513,9 @@
 		e.probe()
 	}
 	o.price, o.Weight = e.price, pick(e.Weight > 0, e.Weight, 1)
-	if mean := n.speed[o.class]; o.speed > 0 && mean > 0 {
+	if o.speed > 0 && n.speed > 0 {
 		seen := e.speeds.total()
-		o.Weight *= math.Pow(math.Max(0.4, math.Min(2.5, o.speed/mean)), seen/(seen+2))
+		o.Weight *= math.Pow(math.Max(0.4, math.Min(2.5, o.speed/n.speed)), seen/(seen+2))
 	}
 	if e.Started != 0 { // a cold endpoint warms over the stated span; a new one gets next to nothing
 		o.warmth = math.Max(0.01, math.Min(1, (e.b.now-e.Started)/e.b.brief.num("cold", 10000)))
@@ -611,7 +533,7 @@
 // probe examines the endpoint where that is allowed, the pilots in turn.
 func (e *endpoint) probe() {
 	every := int(pick(e.speeds.total() < 8, 1, e.b.brief.num("instances", 1)))
-	if e.b.brief.yes("probing") && e.Phase == Ready && (e.b.gathers+e.Endpoint)%max(1, every) == 0 {
+	if e.b.brief["probing"] == true && e.Phase == Ready && (e.b.gathers+e.Endpoint)%max(1, every) == 0 {
 		e.b.order(Probe{Endpoint: e.Endpoint})
 	}
 }
@@ -667,12 +589,13 @@
 
 func (r *region) take(note any) {
 	switch n := note.(type) {
-	case metAt:
+	case Met:
 		good := float64(n.Tries - n.Failed)
 		r.good, r.fresh, r.bad = r.good+good, r.fresh+good, r.bad+float64(n.Failed)
 		r.last, r.gap = r.b.now, r.gap+(n.SpanMs-r.gap)/16
-		if old := r.latency[n.zone]; n.MeanMs > 0 {
-			r.latency[n.zone] += (n.MeanMs - old) * pick(old > 0, 0.125, 1)
+		if o := r.offers[n.Endpoint]; o != nil && n.MeanMs > 0 {
+			old := r.latency[o.Zone]
+			r.latency[o.Zone] += (n.MeanMs - old) * pick(old > 0, 0.125, 1)
 		}
 	case Joined:
 		delete(r.rates, n.Proxy)
@@ -896,10 +819,10 @@
 // table holds lines by endpoint, as sent and as wanted, and levels by kind mask.
 type table struct{ sent, want, levels, admits map[int]float64 }
 
-// proxy is a joined proxy with the times of the messages it was sent.
+// proxy is a joined proxy and when it was last sent a message.
 type proxy struct {
-	zone  int
-	sends []float64
+	zone int
+	last float64
 }
 
 func (c *courier) take(note any) {
@@ -911,7 +834,7 @@
 	case Withdraw:
 		c.shuts = append(c.shuts, n)
 	case Joined:
-		c.proxies[n.Proxy] = &proxy{zone: n.Zone}
+		c.proxies[n.Proxy] = &proxy{n.Zone, -1e9}
 		c.joins = append(c.joins, n.Proxy)
 	case Left:
 		delete(c.proxies, n.Proxy)
@@ -961,7 +884,7 @@
 		c.waiting += float64(len(c.table(i).sent) + len(c.table(i).admits) + 1)
 	}
 	c.waiting += c.b.brief.num("head_lines", 4)
-	p.sends = append(p.sends, c.b.now)
+	p.last = c.b.now
 }
 
 // push writes a table's differences, if any are worth it and the channel has room. Lines that must go, and a table's
@@ -1009,15 +932,12 @@
 	}
 }
 
-// room tells whether the channel and the proxies' message counts leave room for what can wait.
+// room tells whether the channel and the pace of messages to a zone's proxies leave room for what can wait.
 func (c *courier) room(zone, lines int) bool {
-	most, span := c.b.brief.num("messages_most", math.Inf(1)), c.b.brief.num("messages_over", 10000)
+	pace := c.b.brief.num("messages_over", 10000) / c.b.brief.num("messages_most", math.MaxFloat64)
 	cost := 0.0
 	for _, p := range c.proxies {
-		for len(p.sends) > 0 && p.sends[0] < c.b.now-span {
-			p.sends = p.sends[1:]
-		}
-		if p.zone == zone && float64(len(p.sends)) >= most/2 {
+		if p.zone == zone && p.last+1.5*pace > c.b.now {
 			return false
 		}
 		cost += pick(p.zone == zone, float64(lines)+c.b.brief.num("head_lines", 4), 0)
@@ -1033,8 +953,8 @@
 			continue
 		}
 		c.waiting++
-		if n := len(p.sends); n == 0 || p.sends[n-1] != c.b.now {
-			p.sends = append(p.sends, c.b.now)
+		if p.last != c.b.now {
+			p.last = c.b.now
 			c.waiting += c.b.brief.num("head_lines", 4)
 		}
 	}
