--- a/brain/brain.go
+++ b/brain/brain.go
@@ -20,29 +20,26 @@
 )
 
 const (
-	gatherMs   = 1000.0  // the gather window: reports are about this far apart
-	theta      = 0.4     // penalty gain in a gather
-	knee       = 0.75    // T: the load at which a penalty starts to grow
-	priciest   = 2.0     // a penalty above every rank says no more, and a higher one would be slow to come down
-	single     = 0.4     // weight of an endpoint's own penalty against the mean of its zone: one report is noisy
-	reach      = 1.5     // length of the gradient loop, in units of the own zone's part
-	steps      = 24      // of the gradient loop
-	tolerance  = 0.15    // a line is sent again when it is off by this part
-	rankMargin = 1.3     // zones change rank when one answers this much sooner
-	rankStep   = 0.2     // cost between one zone and the next in rank
-	calm       = 0.5     // weight of a new load report against the earlier ones
-	staleMs    = 5000.0  // a load report older than this counts as unheard
-	lagGathers = 3       // gathers until a report shows what a table changed
-	trialPart  = 0.06    // share of its normal weight that an endpoint on trial gets
-	firstWait  = 4000.0  // wait before a trial; grows by waitGrowth with each relapse, to longWait at most
-	waitGrowth = 1.6     // see firstWait
-	longWait   = 20000.0 // see firstWait
-	dueAnswers = 8.0     // answers that must be missing before an endpoint counts as silent
-	full       = 0.9     // mean load of a region's tables above which reqs are denied
-	shedStep   = 0.06    // how fast that share moves in a gather
-	leastLevel = 0.1     // a req kind is never denied wholly
-	fade       = 0.6     // what a gather leaves of the counts before it
-	everyKind  = 31      // req kinds that a bit mask can name
+	gatherMs                        = 1000.0               // the gather window: reports are about this far apart
+	theta                           = 0.4                  // penalty gain in a gather
+	knee                            = 0.75                 // T: the load at which a penalty starts to grow
+	priciest                        = 2.0                  // a penalty above every rank says no more, and a higher one would be slow to come down
+	single                          = 0.4                  // weight of an endpoint's own penalty against the mean of its zone: one report is noisy
+	reach                           = 1.5                  // length of the gradient loop, in units of the own zone's part
+	tolerance                       = 0.15                 // a line is sent again when it is off by this part
+	rankMargin                      = 1.3                  // zones change rank when one answers this much sooner
+	rankStep                        = 0.2                  // cost between one zone and the next in rank
+	calm                            = 0.5                  // weight of a new load report against the earlier ones
+	staleMs                         = 5000.0               // a load report older than this counts as unheard
+	lagGathers                      = 3                    // gathers until a report shows what a table changed
+	trialPart                       = 0.06                 // share of its normal weight that an endpoint on trial gets
+	firstWait, longWait, waitGrowth = 4000.0, 20000.0, 1.6 // waits before a trial: first, longest, growth
+	dueAnswers                      = 8.0                  // answers that must be missing before an endpoint counts as silent
+	full                            = 0.9                  // mean load of a region's tables above which reqs are denied
+	shedStep                        = 0.06                 // how fast that share moves in a gather
+	leastLevel                      = 0.1                  // a req kind is never denied wholly
+	fade                            = 0.6                  // what a gather leaves of the counts before it
+	everyKind                       = 31                   // req kinds that a bit mask can name
 )
 
 // briefing is what the pilot was told at its start: a plain map of names to values.
@@ -84,11 +81,11 @@
 	heard                             bool
 }
 
-// solve asks a region for new tables, flush the courier for its orders.
-type (
-	solve struct{}
-	flush struct{}
-)
+// solve asks a region for new tables.
+type solve struct{ step bool }
+
+// flush asks the courier for its orders.
+type flush struct{}
 
 // Brain is one pilot's decision maker.
 type Brain struct {
@@ -102,6 +99,7 @@
 	actors    []actor
 	desk      *courier
 	groups    []kindGroup
+	kinds     []briefing         // what was told of each req kind
 	speeds    map[int]*histogram // by class
 	orders    []Order
 }
@@ -116,38 +114,33 @@
 // New makes a Brain from its seed and the terms received at start.
 func New(seed int64, terms map[string]any) *Brain {
 	b := &Brain{brief: terms, mean: knee / 2, speeds: map[int]*histogram{}}
+	kinds, _ := terms["req_kinds"].([]any)
+	for _, k := range kinds[:min(len(kinds), everyKind)] {
+		m, _ := k.(map[string]any)
+		b.kinds = append(b.kinds, m)
+	}
 	b.groups = b.groupKinds()
 	b.desk = &courier{b: b, tables: map[int]*table{}, proxies: map[int]*proxy{}}
 	b.actors = []actor{b, b.desk}
 	return b
 }
 
-// kind returns what was told of a req kind.
-func (b *Brain) kind(i int) briefing {
-	kinds, _ := b.brief["req_kinds"].([]any)
-	if i >= len(kinds) {
-		return nil
-	}
-	m, _ := kinds[i].(map[string]any)
-	return m
-}
-
 // groupKinds puts req kinds with the same open endpoints together.
 func (b *Brain) groupKinds() []kindGroup {
 	var groups []kindGroup
 	seen := map[string]int{}
 	own, _ := b.brief["kind_own_zone"].([]any)
-	for i := 0; b.kind(i) != nil; i++ {
+	for i, kind := range b.kinds {
 		g := kindGroup{}
-		g.machines, _ = b.kind(i)["only_machines"].([]any)
-		g.zones, _ = b.kind(i)["only_zones"].([]any)
+		g.machines, _ = kind["only_machines"].([]any)
+		g.zones, _ = kind["only_zones"].([]any)
 		g.ownZone = i < len(own) && own[i] == true
 		key := fmt.Sprint(g)
 		if _, ok := seen[key]; !ok {
 			seen[key] = len(groups)
 			groups = append(groups, g)
 		}
-		groups[seen[key]].mask |= 1 << (i % everyKind)
+		groups[seen[key]].mask |= 1 << i
 	}
 	if len(groups) == 0 {
 		return make([]kindGroup, 1)
@@ -215,20 +208,18 @@
 		b.region(n.Zone).post(n)
 	case Joined:
 		b.region(n.Zone)
-		b.desk.post(n)
-		b.tellRegions(n)
-	case Left:
-		b.desk.post(n)
-		b.tellRegions(n)
-	case Demand:
-		b.tellRegions(n)
+		b.tell(n)
+	case Left, Demand:
+		b.tell(n)
 	}
 }
 
-func (b *Brain) tellRegions(n any) {
+// tell posts a note to all regions and the courier.
+func (b *Brain) tell(n any) {
 	for _, r := range b.regions {
 		r.post(n)
 	}
+	b.desk.post(n)
 }
 
 // list applies a listing; what a whole list no longer names is gone.
@@ -264,7 +255,7 @@
 		be.post(gather{step, b.mean, b.classOf(be.class()).mean()})
 	}
 	b.drain()
-	b.tellRegions(solve{})
+	b.tell(solve{step})
 }
 
 // drain empties all inboxes, in a fixed order, until nothing waits.
@@ -327,7 +318,6 @@
 	b                 *Brain
 	listed, out       bool
 	load, heard, rate float64 // of the last reports: load (below 0: none), when, reqs a second
-	first             float64 // when reports began
 	price             float64 // the penalty lambda
 	speeds            histogram
 	views             map[int]*view
@@ -455,15 +445,12 @@
 	if ok {
 		e.hear((math.Sqrt(q*q+4*q) - q) / 2)
 	}
-	if ms := l["service_ms"]; ms > 0 && e.b.now-e.first > staleMs { // the first figures after a start are far too low
-		e.speeds.add(1000 / ms)
-	}
 }
 
 // hear takes a reported load into a mean over the last few reports: a single one jumps by half.
 func (e *endpoint) hear(load float64) {
 	if e.load < 0 || e.b.now-e.heard > staleMs {
-		e.load, e.first = load, e.b.now
+		e.load = load
 	}
 	e.load, e.heard = e.load+(load-e.load)*calm, e.b.now
 }
@@ -510,7 +497,10 @@
 		load := o.load * e.hindsight()
 		e.price = math.Max(0, math.Min(priciest, e.price+theta*e.part()*(load*load-knee*knee)))
 		e.b.post(o)
-		e.probe()
+		every := int(pick(e.speeds.total() < 8, 1, e.b.brief.num("instances", 1)))
+		if e.b.brief["probing"] == true && e.Phase == Ready && (e.b.gathers+e.Endpoint)%max(1, every) == 0 {
+			e.b.order(Probe{Endpoint: e.Endpoint})
+		}
 	}
 	o.price, o.Weight = e.price, pick(e.Weight > 0, e.Weight, 1)
 	if o.speed > 0 && n.speed > 0 {
@@ -530,14 +520,6 @@
 	}
 }
 
-// probe examines the endpoint where that is allowed, the pilots in turn.
-func (e *endpoint) probe() {
-	every := int(pick(e.speeds.total() < 8, 1, e.b.brief.num("instances", 1)))
-	if e.b.brief["probing"] == true && e.Phase == Ready && (e.b.gathers+e.Endpoint)%max(1, every) == 0 {
-		e.b.order(Probe{Endpoint: e.Endpoint})
-	}
-}
-
 // judge weighs the symptoms that a zone's proxies show of this endpoint: too many failures against what the others
 // do, answers that stop, probes that time out. It should catch whatever hides behind these, a hang, a lost machine
 // or a cut; it does harm where a healthy endpoint is only slow to be heard of, so the trial follows soon.
@@ -611,30 +593,25 @@
 	case offer:
 		r.offers[n.Endpoint] = &n
 	case solve:
-		r.solve()
+		r.solve(n.step)
 	}
 }
 
-// costs ranks the zones that a group can use: the nearest is as good as the own one, the others follow in the
-// order of the list, reordered where heard latency differs by a clear margin.
+// costs ranks the zones that a group can use: the nearest is as good as the own one, the others follow by heard
+// latency, in steps as wide as the margin that a change of rank needs, and else in the order of the list.
 func (r *region) costs(g *kindGroup) map[int]float64 {
+	n, costs := len(r.b.regions), map[int]float64{}
 	var zones []int
-	n := len(r.b.regions)
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
 		if o := r.offers[i]; g.open(r.zone, o) && !slices.Contains(zones, o.Zone) {
 			zones = append(zones, o.Zone)
 		}
 	}
-	sort.Slice(zones, func(i, j int) bool { return (zones[i]-r.zone+n)%n < (zones[j]-r.zone+n)%n })
-	for i := 2; i < len(zones); i++ {
-		for j := i; j > 1; j-- {
-			near, far := r.latency[zones[j]], r.latency[zones[j-1]]
-			if near > 0 && near*rankMargin < far {
-				zones[j], zones[j-1] = zones[j-1], zones[j]
-			}
-		}
+	key := func(i int) float64 {
+		step := math.Floor(math.Log(math.Max(1, r.latency[zones[i]])) / math.Log(rankMargin))
+		return pick(zones[i] == r.zone, -1, step*float64(n)+float64((zones[i]-r.zone+n)%n))
 	}
-	costs := map[int]float64{}
+	sort.Slice(zones, func(i, j int) bool { return key(i) < key(j) })
 	for i, z := range zones {
 		costs[z] = pick(i == 0, 0, 1+rankStep*float64(i-1))
 	}
@@ -642,8 +619,8 @@
 }
 
 // solve lays this region's tables, one for each group of req kinds.
-func (r *region) solve() {
-	if r.b.gathers > 0 {
+func (r *region) solve(step bool) {
+	if step {
 		r.rate += (r.fresh*1000/gatherMs - r.rate) / 4
 		r.failing = r.bad / math.Max(8, r.good+r.bad)
 		r.fresh, r.good, r.bad = 0, r.good*fade, r.bad*fade
@@ -661,7 +638,9 @@
 			r.b.bes[l.be].post(line)
 		}
 	}
-	r.level()
+	if step {
+		r.level()
+	}
 }
 
 // line is one endpoint in a solve.
@@ -717,6 +696,7 @@
 		lines[i].x = lines[i].listed
 	}
 	project(lines)
+	const steps = 24
 	for range steps {
 		mean := 0.0
 		for _, l := range lines {
@@ -797,10 +777,10 @@
 
 // byPayoff lists the req kinds, those with the least payoff for their response target first.
 func (b *Brain) byPayoff() (order []int) {
-	for i := 0; b.kind(i) != nil && i < everyKind; i++ {
-		order = append(order, i)
+	worth := func(k int) float64 { return b.kinds[k].num("payoff", 1) / b.kinds[k].num("response_target", 1000) }
+	for k := range b.kinds {
+		order = append(order, k)
 	}
-	worth := func(i int) float64 { return b.kind(i).num("payoff", 1) / b.kind(i).num("response_target", 1000) }
 	sort.SliceStable(order, func(i, j int) bool { return worth(order[i]) < worth(order[j]) })
 	return order
 }
@@ -816,8 +796,8 @@
 	waiting, at float64 // lines that may still wait in the channel, by a cautious guess, and when that was
 }
 
-// table holds lines by endpoint, as sent and as wanted, and levels by kind mask.
-type table struct{ sent, want, levels, admits map[int]float64 }
+// table holds what was sent and what is wanted: weights by endpoint, and below 0 what is denied of a req kind.
+type table struct{ sent, want map[int]float64 }
 
 // proxy is a joined proxy and when it was last sent a message.
 type proxy struct {
@@ -830,7 +810,7 @@
 	case SetLine:
 		c.table(n.Table).want[n.Endpoint] = n.Weight
 	case Admit:
-		c.table(n.Table).levels[n.Kinds] = n.Level
+		c.table(n.Table).want[-n.Kinds] = 1 - n.Level
 	case Withdraw:
 		c.shuts = append(c.shuts, n)
 	case Joined:
@@ -845,7 +825,7 @@
 
 func (c *courier) table(i int) *table {
 	if c.tables[i] == nil {
-		c.tables[i] = &table{map[int]float64{}, map[int]float64{}, map[int]float64{}, map[int]float64{}}
+		c.tables[i] = &table{map[int]float64{}, map[int]float64{}}
 	}
 	return c.tables[i]
 }
@@ -863,7 +843,6 @@
 		}
 		for i := 0; out && i < len(c.b.regions)*len(c.b.groups); i++ {
 			c.push(i)
-			c.admit(i)
 		}
 	}
 	for _, p := range c.joins {
@@ -881,53 +860,41 @@
 	for g, group := range c.b.groups {
 		i := p.zone*len(c.b.groups) + g
 		c.b.order(Bind{Table: i, Proxy: name, Kinds: group.mask})
-		c.waiting += float64(len(c.table(i).sent) + len(c.table(i).admits) + 1)
+		c.waiting += float64(len(c.table(i).sent) + 1)
 	}
 	c.waiting += c.b.brief.num("head_lines", 4)
 	p.last = c.b.now
 }
 
-// push writes a table's differences, if any are worth it and the channel has room. Lines that must go, and a table's
-// first, don't wait for room. New lines come before removals: a table never runs empty on the way.
+// push writes a table's differences, if any are worth it and the channel has room. What must go, and a table's first
+// lines, don't wait for room. New lines come before removals: a table never runs empty on the way. Tries again stay
+// as proxies make them unasked: once, after proof that the first never ran, which is safe for every req kind.
 func (c *courier) push(i int) {
-	t := c.table(i)
+	t, zone := c.table(i), i/len(c.b.groups)
 	var add, remove []int
-	for _, be := range slices.Sorted(maps.Keys(t.want)) {
-		want, sent := t.want[be], t.sent[be]
-		if math.IsNaN(want) || math.Abs(sent-want) <= tolerance*math.Max(sent, want) {
-			continue
-		}
-		if want > 0 {
-			add = append(add, be)
-		} else {
-			remove = append(remove, be)
+	for _, k := range slices.Sorted(maps.Keys(t.want)) {
+		want, sent := t.want[k], t.sent[k]
+		switch {
+		case math.IsNaN(want) || math.Abs(sent-want) <= tolerance*math.Max(sent, want):
+		case k < 0 && c.b.brief["admission"] != "share":
+		case want > 0:
+			add = append(add, k)
+		default:
+			remove = append(remove, k)
 		}
 	}
-	zone := i / len(c.b.groups)
 	if len(remove) == 0 && len(t.sent) > 0 && !c.room(zone, len(add)) {
 		return
 	}
-	for _, be := range append(add, remove...) {
-		c.write(SetLine{Table: i, Endpoint: be, Weight: t.want[be]}, zone)
-		if t.sent[be] = t.want[be]; t.sent[be] == 0 {
-			delete(t.sent, be)
-		}
-	}
-}
-
-// admit writes a table's levels that have changed enough. Tries again stay as proxies make them unasked: once, after
-// proof that the first never ran, which is safe for every req kind.
-func (c *courier) admit(i int) {
-	t := c.table(i)
-	if c.b.brief["admission"] != "share" {
-		return
-	}
-	for _, k := range slices.Sorted(maps.Keys(t.levels)) {
-		sent, was := t.admits[k]
-		if sent = pick(was, sent, 1); math.Abs(sent-t.levels[k]) >= pick(t.levels[k] < 1, 0.06, 1e-9) {
-			t.admits[k] = t.levels[k]
+	for _, k := range append(add, remove...) {
+		if k < 0 {
 			again := int(c.b.brief.num("retry_default", 0))
-			c.write(Admit{Table: i, Kinds: k, Again: again, Level: t.levels[k]}, i/len(c.b.groups))
+			c.write(Admit{Table: i, Kinds: -k, Again: again, Level: 1 - t.want[k]}, zone)
+		} else {
+			c.write(SetLine{Table: i, Endpoint: k, Weight: t.want[k]}, zone)
+		}
+		if t.sent[k] = t.want[k]; t.sent[k] == 0 {
+			delete(t.sent, k)
 		}
 	}
 }
