--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,7 +45,6 @@
 // briefing is what the pilot was told at its start: a plain map of names to values.
 type briefing map[string]any
 
-// num reads a number that is above 0, or else takes the fallback.
 func (t briefing) num(name string, fallback float64) float64 {
 	if v, ok := t[name].(float64); ok && v > 0 && !math.IsInf(v, 0) {
 		return v
@@ -53,7 +52,6 @@
 	return fallback
 }
 
-// inbox holds the notes that wait for an actor.
 type inbox struct{ waiting []any }
 
 // actor is a part that lives on notes alone.
@@ -64,7 +62,6 @@
 
 func (i *inbox) box() *inbox { return i }
 
-// post puts a note into an actor's inbox.
 func (i *inbox) post(note any) { i.waiting = append(i.waiting, note) }
 
 // gather asks an endpoint for its offers, in step when a gather window has passed.
@@ -76,15 +73,12 @@
 // offer tells a region, or the pilot, on what terms an endpoint takes part.
 type offer struct {
 	Entry
-	class                             int // endpoints whose speeds compare
 	price, trust, load, speed, warmth float64
 	heard                             bool
 }
 
-// solve asks a region for new tables.
 type solve struct{ step bool }
 
-// flush asks the courier for its orders.
 type flush struct{}
 
 // Brain is one pilot's decision maker.
@@ -99,8 +93,8 @@
 	actors    []actor
 	desk      *courier
 	groups    []kindGroup
-	kinds     []briefing         // what was told of each req kind
-	speeds    map[int]*histogram // by class
+	kinds     []briefing // what was told of each req kind
+	speeds    histogram
 	orders    []Order
 }
 
@@ -113,7 +107,7 @@
 
 // New makes a Brain from its seed and the terms received at start.
 func New(seed int64, terms map[string]any) *Brain {
-	b := &Brain{brief: terms, mean: knee / 2, speeds: map[int]*histogram{}}
+	b := &Brain{brief: terms, mean: knee / 2}
 	kinds, _ := terms["req_kinds"].([]any)
 	for _, k := range kinds[:min(len(kinds), everyKind)] {
 		m, _ := k.(map[string]any)
@@ -158,13 +152,10 @@
 	return len(list) == 0 || slices.Contains(list, any(float64(index)))
 }
 
-// say logs a change of mode.
 func (b *Brain) say(format string, args ...any) { b.order(Log{fmt.Sprintf(format, args...)}) }
 
-// order adds to the answer.
 func (b *Brain) order(o Order) { b.orders = append(b.orders, o) }
 
-// wake asks for the next gather.
 func (b *Brain) wake(afterMs float64) { b.order(WakeAt{AtMs: b.now + afterMs, Name: "gather"}) }
 
 // Handle takes all notes of one moment and returns the orders they lead to.
@@ -214,7 +205,6 @@
 	}
 }
 
-// tell posts a note to all regions and the courier.
 func (b *Brain) tell(n any) {
 	for _, r := range b.regions {
 		r.post(n)
@@ -251,8 +241,9 @@
 		b.gathers++
 		b.wake(gatherMs)
 	}
+	speed, _ := b.speeds.mean()
 	for _, be := range b.bes {
-		be.post(gather{step, b.mean, b.classOf(be.class()).mean()})
+		be.post(gather{step, b.mean, speed})
 	}
 	b.drain()
 	b.tell(solve{step})
@@ -273,25 +264,15 @@
 	}
 }
 
-// take keeps the mean load and the speeds of each class.
 func (b *Brain) take(note any) {
 	if o, ok := note.(offer); ok && o.heard {
 		b.mean += (o.load - b.mean) / float64(len(b.bes)+1)
 		if o.speed > 0 {
-			b.classOf(o.class).add(o.speed)
+			b.speeds.add(o.speed)
 		}
 	}
 }
 
-// classOf returns the speeds of the endpoints that compare.
-func (b *Brain) classOf(class int) *histogram {
-	if b.speeds[class] == nil {
-		b.speeds[class] = &histogram{}
-	}
-	return b.speeds[class]
-}
-
-// be returns an endpoint's actor, making room for it.
 func (b *Brain) be(i int) *endpoint {
 	for len(b.bes) <= i {
 		b.bes = append(b.bes, &endpoint{b: b, Entry: Entry{Endpoint: len(b.bes)}, load: -1, heard: -staleMs,
@@ -301,7 +282,6 @@
 	return b.bes[i]
 }
 
-// region returns the actor of a zone's proxies, making room for it.
 func (b *Brain) region(zone int) *region {
 	for len(b.regions) <= zone {
 		b.regions = append(b.regions, &region{b: b, zone: len(b.regions), offers: map[int]*offer{},
@@ -327,7 +307,6 @@
 	plans             [lagGathers + 1]float64 // their sum at this and earlier gathers
 }
 
-// view is what a zone's proxies see of an endpoint.
 type view struct {
 	good, bad, rate, lastGood float64 // answers and failures, fading; answers a second
 	out                       bool
@@ -339,27 +318,20 @@
 
 func (h *histogram) add(v float64) {
 	h.bins[max(0, min(len(h.bins)-1, int(math.Round(8+2*math.Log2(math.Max(v, 1e-9))))))]++
-	if h.total() > 24 {
+	if _, total := h.mean(); total > 24 {
 		for i := range h.bins {
 			h.bins[i] /= 2
 		}
 	}
 }
 
-func (h *histogram) total() (sum float64) {
-	for _, n := range h.bins {
-		sum += n
-	}
-	return sum
-}
-
-// mean is the geometric mean, 0 while there are fewer than two counts.
-func (h *histogram) mean() float64 {
-	sum, total := 0.0, h.total()
+// mean is the geometric mean, 0 while there are fewer than two counts, and total the counts.
+func (h *histogram) mean() (mean, total float64) {
 	for i, n := range h.bins {
-		sum += n * float64(i-8) / 2
+		mean += n * float64(i-8) / 2
+		total += n
 	}
-	return pick(total >= 2, math.Exp2(sum/math.Max(total, 1)), 0)
+	return pick(total >= 2, math.Exp2(mean/math.Max(total, 1)), 0), total
 }
 
 func pick(cond bool, yes, no float64) float64 {
@@ -404,7 +376,6 @@
 	}
 }
 
-// met books what a zone's proxies met here.
 func (e *endpoint) met(n Met) {
 	v := e.view(n.Zone)
 	good := float64(max(0, n.Tries-n.Failed))
@@ -428,36 +399,28 @@
 	e.report(n.Load)
 }
 
-// report reads a load report, whichever fields it has. Without util the load is that of the single queue which
-// would be as long as the reported one.
+// report reads a load report, whichever fields it has, into a mean over the last few: a single one jumps by half.
+// Without util the load is that of the single queue which would be as long as the reported one.
 func (e *endpoint) report(l Load) {
-	if util, ok := l["util"]; ok {
-		e.hear(util)
-		if e.rate = l["rate"]; util > 0.15 && e.rate > 0 {
-			e.speeds.add(e.rate / util / math.Max(e.Weight, 1e-3))
+	load, ok := l["util"]
+	if rate := l["rate"]; ok && load > 0.15 && rate > 0 {
+		e.rate = rate
+		e.speeds.add(rate / load / math.Max(e.Weight, 1e-3))
+	}
+	for _, field := range []string{"waiting", "in_hand"} {
+		if q, has := l[field]; has && !ok {
+			load, ok = (math.Sqrt(q*q+4*q)-q)/2, true
 		}
-		return
 	}
-	q, ok := l["waiting"]
 	if !ok {
-		q, ok = l["in_hand"]
-	}
-	if ok {
-		e.hear((math.Sqrt(q*q+4*q) - q) / 2)
+		return
 	}
-}
-
-// hear takes a reported load into a mean over the last few reports: a single one jumps by half.
-func (e *endpoint) hear(load float64) {
 	if e.load < 0 || e.b.now-e.heard > staleMs {
 		e.load = load
 	}
 	e.load, e.heard = e.load+(load-e.load)*calm, e.b.now
 }
 
-// class tells which endpoints' speeds compare: all where capacity shows, else those of the same machine.
-func (e *endpoint) class() int { return int(pick(e.rate > 0, -1, float64(e.Machine))) }
-
 // hindsight is what a load report must be multiplied by: it was made under the tables of some gathers ago, and what
 // was changed since has yet to show. Without it the penalty goes on acting on what it has mended, and swings.
 func (e *endpoint) hindsight() float64 {
@@ -489,7 +452,8 @@
 	if !e.listed {
 		return
 	}
-	o := offer{Entry: e.Entry, class: e.class(), load: n.mean, speed: e.speeds.mean(), warmth: 1}
+	speed, seen := e.speeds.mean()
+	o := offer{Entry: e.Entry, load: n.mean, speed: speed, warmth: 1}
 	if o.heard = e.b.now-e.heard < staleMs && e.load >= 0; o.heard {
 		o.load = e.load
 	}
@@ -497,14 +461,13 @@
 		load := o.load * e.hindsight()
 		e.price = math.Max(0, math.Min(priciest, e.price+theta*e.part()*(load*load-knee*knee)))
 		e.b.post(o)
-		every := int(pick(e.speeds.total() < 8, 1, e.b.brief.num("instances", 1)))
+		every := int(pick(seen < 8, 1, e.b.brief.num("instances", 1)))
 		if e.b.brief["probing"] == true && e.Phase == Ready && (e.b.gathers+e.Endpoint)%max(1, every) == 0 {
 			e.b.order(Probe{Endpoint: e.Endpoint})
 		}
 	}
 	o.price, o.Weight = e.price, pick(e.Weight > 0, e.Weight, 1)
 	if o.speed > 0 && n.speed > 0 {
-		seen := e.speeds.total()
 		o.Weight *= math.Pow(math.Max(0.4, math.Min(2.5, o.speed/n.speed)), seen/(seen+2))
 	}
 	if e.Started != 0 { // a cold endpoint warms over the stated span; a new one gets next to nothing
@@ -580,7 +543,6 @@
 			r.latency[o.Zone] += (n.MeanMs - old) * pick(old > 0, 0.125, 1)
 		}
 	case Joined:
-		delete(r.rates, n.Proxy)
 		if n.Zone == r.zone {
 			r.rates[n.Proxy] = n.Rate
 		}
@@ -597,25 +559,27 @@
 	}
 }
 
-// costs ranks the zones that a group can use: the nearest is as good as the own one, the others follow by heard
-// latency, in steps as wide as the margin that a change of rank needs, and else in the order of the list.
-func (r *region) costs(g *kindGroup) map[int]float64 {
-	n, costs := len(r.b.regions), map[int]float64{}
-	var zones []int
+// costs ranks the zones that a group can use and adds their mean penalties: the nearest costs nothing, the others
+// follow by heard latency, in steps as wide as the margin that a change of rank needs, else in the list's order.
+func (r *region) costs(g *kindGroup) (costs map[int]float64, home int) {
+	n, weights, prices := len(r.b.regions), map[int]float64{}, map[int]float64{}
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
-		if o := r.offers[i]; g.open(r.zone, o) && !slices.Contains(zones, o.Zone) {
-			zones = append(zones, o.Zone)
+		if o := r.offers[i]; g.open(r.zone, o) {
+			weights[o.Zone] += o.Weight
+			prices[o.Zone] += o.Weight * o.price
 		}
 	}
-	key := func(i int) float64 {
-		step := math.Floor(math.Log(math.Max(1, r.latency[zones[i]])) / math.Log(rankMargin))
-		return pick(zones[i] == r.zone, -1, step*float64(n)+float64((zones[i]-r.zone+n)%n))
+	key := func(zone int) float64 {
+		step := math.Floor(math.Log(math.Max(1, r.latency[zone])) / math.Log(rankMargin))
+		return pick(zone == r.zone, -1, step*float64(n)+float64((zone-r.zone+n)%n))
 	}
-	sort.Slice(zones, func(i, j int) bool { return key(i) < key(j) })
+	zones := slices.Sorted(maps.Keys(weights))
+	sort.Slice(zones, func(i, j int) bool { return key(zones[i]) < key(zones[j]) })
+	costs = map[int]float64{}
 	for i, z := range zones {
-		costs[z] = pick(i == 0, 0, 1+rankStep*float64(i-1))
+		costs[z] = pick(i == 0, 0, 1+rankStep*float64(i-1)) + (1-single)*prices[z]/weights[z]
 	}
-	return costs
+	return costs, append(zones, -1)[0]
 }
 
 // solve lays this region's tables, one for each group of req kinds.
@@ -643,9 +607,8 @@
 	}
 }
 
-// line is one endpoint in a solve.
 type line struct {
-	be, zone             int
+	be                   int
 	listed, cost, cap, x float64
 }
 
@@ -653,38 +616,29 @@
 // all: what is missing there counts too, so that a zone short of endpoints spills. The cap keeps a cold endpoint, or
 // one on trial, at its part of the share it would have; the more the others fail the lower it is, as what fails is
 // tried again. If no warm one is trusted all are in: a line that may fail is better than none.
-func (r *region) candidates(g *kindGroup) ([]line, float64) {
-	var lines []line
-	costs := r.costs(g)
+func (r *region) candidates(g *kindGroup) (lines []line, own float64) {
+	costs, home := r.costs(g)
 	sum, near, normal, trusted := 1e-9, 1e-9, 0.0, 0.0
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
-		o := r.offers[i]
-		l := line{be: i, zone: o.Zone}
+		o, l := r.offers[i], line{be: i}
 		if g.open(r.zone, o) {
-			normal += pick(costs[o.Zone] == 0, o.Weight, 0)
+			normal += pick(o.Zone == home, o.Weight, 0)
 			if o.Phase == Ready {
-				l.listed, l.cost = o.Weight, costs[o.Zone]+o.price
+				l.listed, l.cost = o.Weight, costs[o.Zone]+single*o.price
 				sum += o.Weight
-				near += pick(costs[o.Zone] == 0, o.Weight, 0)
+				near += pick(o.Zone == home, o.Weight, 0)
 				trusted += pick(o.warmth >= 1, o.trust, 0)
 			}
 		}
 		lines = append(lines, l)
 	}
-	mean, parts := map[int]float64{}, map[int]float64{}
-	for _, l := range lines {
-		mean[l.zone] += l.cost * l.listed
-		parts[l.zone] += l.listed
-	}
 	for i := range lines {
 		l, o := &lines[i], r.offers[lines[i].be]
-		if l.listed == 0 {
-			continue
+		if part := o.warmth * pick(trusted > 0, o.trust, 1); l.listed > 0 && part < 1 {
+			l.cap = part * pick(o.warmth < 1, 1-r.failing, 1) * l.listed / pick(o.Zone == home, near, sum)
+		} else if l.listed > 0 {
+			l.cap = 1
 		}
-		m := mean[l.zone] / parts[l.zone]
-		l.cost = m + single*(l.cost-m)
-		part := o.warmth * pick(trusted > 0, o.trust, 1)
-		l.cap = pick(part < 1, part*pick(o.warmth < 1, 1-r.failing, 1)*l.listed/pick(costs[l.zone] == 0, near, sum), 1)
 		l.listed /= sum
 	}
 	return lines, normal / sum
@@ -713,33 +667,25 @@
 }
 
 // project moves the shares to where they sum to 1, none below 0 or above its cap, shifting each in proportion to its
-// listed share. Caps that leave too little room are widened together.
+// listed share. Caps that leave too little room give way together.
 func project(lines []line) {
-	room := 0.0
-	for _, l := range lines {
-		room += l.cap
-	}
-	widen := pick(room > 0 && room < 1, 1.0001/math.Max(room, 1e-9), 1)
-	low, high := -8.0, 64.0
-	for range 40 {
-		sum, mid := 0.0, (low+high)/2
+	for range 12 {
+		rest, free := 1.0, 0.0
+		for i, l := range lines {
+			lines[i].x = math.Max(0, math.Min(l.cap, l.x))
+			rest -= lines[i].x
+		}
 		for _, l := range lines {
-			sum += l.at(mid, widen)
+			free += pick(rest > 0 && l.x < l.cap || rest < 0 && l.x > 0, l.listed, 0)
 		}
-		if sum < 1 {
-			low = mid
-		} else {
-			high = mid
+		for i, l := range lines {
+			if free == 0 {
+				lines[i].x = l.x / math.Max(1-rest, 1e-9)
+			} else {
+				lines[i].x += rest * l.listed / free
+			}
 		}
 	}
-	for i, l := range lines {
-		lines[i].x = l.at(high, widen)
-	}
-}
-
-// at is the line's share when the level is raised.
-func (l line) at(level, widen float64) float64 {
-	return math.Max(0, math.Min(l.cap*widen, l.x+level*l.listed))
 }
 
 // level denies part of the reqs while the endpoints that the tables use are overloaded on the whole: late answers
@@ -851,7 +797,6 @@
 	c.shuts, c.joins = nil, nil
 }
 
-// bind puts a proxy that joined on its zone's tables.
 func (c *courier) bind(name int) {
 	p := c.proxies[name]
 	if p == nil {
