--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,14 +1,14 @@
 package brain
 
-// Call New once with the seed and the terms received at start, then Handle with each moment's notes: it returns the
-// orders. The interface is port.go, the design with its reasons docs/design.md. Each endpoint, each zone of proxies
-// (region) and the channel (courier) is an actor with an inbox; one loop empties them in a fixed order.
-// Mechanisms beside the design:
-//  1. speed:   listed weights corrected by the speed that load reports show
-//  2. health:  an endpoint that fails, falls silent or misses probes for a zone's proxies leaves their tables
-//  3. return:  it comes back on a small trial share that doubles while answers are good
-//  4. levels:  under overload the req kinds with the least payoff for their time are let in less
-//  5. thrift:  a model of the channel defers what can wait
+// Call New once with the seed and the terms received at start, then Handle with each moment's notes: it
+// returns the orders. The interface is port.go, the design and its reasons docs/design.md. Endpoints,
+// regions (the proxies of a zone) and the courier (the channel) are actors with inboxes. Mechanisms beside
+// the design:
+//  1. speed:     listed weights corrected by the speed that load reports show
+//  2. health:    an endpoint that fails or falls silent for a zone's proxies leaves their tables
+//  3. return:    it comes back on a small trial share that doubles while answers are good
+//  4. levels:    under overload the req kinds with the least payoff for their time are let in less
+//  5. thrift:    a model of the channel defers what can wait
 //  6. hindsight: load reports are brought up to date with the tables sent since they were made
 
 import (
@@ -20,26 +20,28 @@
 )
 
 const (
-	gatherMs                        = 1000.0               // the gather window: reports are about this far apart
-	theta                           = 0.4                  // penalty gain in a gather
-	knee                            = 0.75                 // T: the load at which a penalty starts to grow
-	priciest                        = 2.0                  // a penalty above every rank says no more, and a higher one would be slow to come down
-	single                          = 0.4                  // weight of an endpoint's own penalty against the mean of its zone: one report is noisy
-	reach                           = 1.5                  // length of the gradient loop, in units of the own zone's part
-	tolerance                       = 0.15                 // a line is sent again when it is off by this part
-	rankMargin                      = 1.3                  // zones change rank when one answers this much sooner
-	rankStep                        = 0.2                  // cost between one zone and the next in rank
-	calm                            = 0.5                  // weight of a new load report against the earlier ones
-	staleMs                         = 5000.0               // a load report older than this counts as unheard
-	lagGathers                      = 3                    // gathers until a report shows what a table changed
-	trialPart                       = 0.06                 // share of its normal weight that an endpoint on trial gets
-	firstWait, longWait, waitGrowth = 4000.0, 20000.0, 1.6 // waits before a trial: first, longest, growth
-	dueAnswers                      = 8.0                  // answers that must be missing before an endpoint counts as silent
-	full                            = 0.9                  // mean load of a region's tables above which reqs are denied
-	shedStep                        = 0.06                 // how fast that share moves in a gather
-	leastLevel                      = 0.1                  // a req kind is never denied wholly
-	fade                            = 0.6                  // what a gather leaves of the counts before it
-	everyKind                       = 31                   // req kinds that a bit mask can name
+	gatherMs   = 1000.0 // the gather window: reports are about this far apart
+	theta      = 0.4    // penalty gain in a gather
+	knee       = 0.75   // T: the load at which a penalty starts to grow
+	priciest   = 2.0    // a penalty above every rank says no more, and a higher one would be slow to come down
+	single     = 0.4    // weight of an endpoint's own penalty against its zone's mean: one report is noisy
+	reach      = 1.5    // length of the gradient loop, in units of the own zone's part
+	tolerance  = 0.15   // a line is sent again when it is off by this part
+	calm       = 0.5    // weight of a new load report against the earlier ones
+	staleMs    = 5000.0 // a load report older than this counts as unheard
+	lagGathers = 3      // gathers until a report shows what a table changed
+	trialPart  = 0.06   // share of its normal weight that an endpoint on trial gets
+	dueAnswers = 8.0    // answers that must be missing before an endpoint counts as silent
+	fade       = 0.6    // what a gather leaves of the counts before it
+	everyKind  = 31     // req kinds that a bit mask can name
+)
+
+// What comes in sets: a clear margin of latency and the cost of a rank; first, longest and growing waits
+// before a trial; the load at which reqs are denied, how fast, and how little of a req kind is ever let in.
+const (
+	rankMargin, rankStep            = 1.3, 0.2
+	firstWait, longWait, waitGrowth = 4000.0, 20000.0, 1.6
+	full, shedStep, leastLevel      = 0.9, 0.06, 0.1
 )
 
 // briefing is what the pilot was told at its start: a plain map of names to values.
@@ -114,7 +116,7 @@
 		b.kinds = append(b.kinds, m)
 	}
 	b.groups = b.groupKinds()
-	b.desk = &courier{b: b, tables: map[int]*table{}, proxies: map[int]*proxy{}}
+	b.desk = &courier{b: b, proxies: map[int]*proxy{}}
 	b.actors = []actor{b, b.desk}
 	return b
 }
@@ -251,15 +253,14 @@
 
 // drain empties all inboxes, in a fixed order, until nothing waits.
 func (b *Brain) drain() {
-	for busy := true; busy; {
-		busy = false
-		for i := 0; i < len(b.actors); i++ {
-			notes := b.actors[i].box().waiting
-			b.actors[i].box().waiting = nil
-			for _, n := range notes {
-				b.actors[i].take(n)
-				busy = true
-			}
+	for i := 0; i < len(b.actors); i++ {
+		notes := b.actors[i].box().waiting
+		b.actors[i].box().waiting = nil
+		for _, n := range notes {
+			b.actors[i].take(n)
+		}
+		if len(notes) > 0 {
+			i = -1
 		}
 	}
 }
@@ -285,8 +286,12 @@
 func (b *Brain) region(zone int) *region {
 	for len(b.regions) <= zone {
 		b.regions = append(b.regions, &region{b: b, zone: len(b.regions), offers: map[int]*offer{},
-			shares: map[int]float64{}, rates: map[int]float64{}, asked: map[int]float64{}, latency: map[int]float64{}})
+			shares: map[int]float64{}, rates: map[int]float64{}, asked: map[int]float64{},
+			latency: map[int]float64{}})
 		b.actors = append(b.actors, b.regions[len(b.regions)-1])
+		for range b.groups {
+			b.desk.tables = append(b.desk.tables, &table{map[int]float64{}, map[int]float64{}})
+		}
 	}
 	return b.regions[zone]
 }
@@ -296,7 +301,7 @@
 	inbox
 	Entry
 	b                 *Brain
-	listed, out       bool
+	listed            bool
 	load, heard, rate float64 // of the last reports: load (below 0: none), when, reqs a second
 	price             float64 // the penalty lambda
 	speeds            histogram
@@ -353,9 +358,19 @@
 	case Entry:
 		e.relist(n)
 	case Met:
-		e.met(n)
+		v, good := e.view(n.Zone), float64(max(0, n.Tries-n.Failed))
+		v.good, v.bad = v.good+good, v.bad+float64(n.Failed)
+		if v.lastGood = pick(good > 0, e.b.now, v.lastGood); n.SpanMs > 0 {
+			v.rate = (v.rate + good*1000/n.SpanMs) / 2
+		}
+		e.report(n.Load)
 	case Probed:
-		e.probed(n)
+		if n.Outcome != "T" && n.Outcome != "C" {
+			e.misses = 0
+		} else if e.misses++; e.misses == 1 {
+			e.missAt = e.b.now
+		}
+		e.report(n.Load)
 	case SetLine:
 		e.planned[n.Table] = n.Weight
 	case gather:
@@ -369,38 +384,14 @@
 		clear(e.views)
 		e.price, e.load, e.heard, e.misses = 0, -1, -staleMs, 0
 	}
-	e.Entry, e.listed = n, true
-	if out := n.Phase != Ready; out != e.out {
-		e.out = out
+	if out := n.Phase != Ready; out != (e.listed && e.Phase != Ready) {
 		e.b.desk.post(Withdraw{n.Endpoint, out})
 	}
+	e.Entry, e.listed = n, true
 }
 
-func (e *endpoint) met(n Met) {
-	v := e.view(n.Zone)
-	good := float64(max(0, n.Tries-n.Failed))
-	v.good, v.bad = v.good+good, v.bad+float64(n.Failed)
-	if good > 0 {
-		v.lastGood = e.b.now
-	}
-	if n.SpanMs > 0 {
-		v.rate = (v.rate + good*1000/n.SpanMs) / 2
-	}
-	e.report(n.Load)
-}
-
-// probed books a probe. Two unanswered ones in a row are a sign that nothing runs there.
-func (e *endpoint) probed(n Probed) {
-	if n.Outcome != "T" && n.Outcome != "C" {
-		e.misses = 0
-	} else if e.misses++; e.misses == 1 {
-		e.missAt = e.b.now
-	}
-	e.report(n.Load)
-}
-
-// report reads a load report, whichever fields it has, into a mean over the last few: a single one jumps by half.
-// Without util the load is that of the single queue which would be as long as the reported one.
+// report reads a load report, whichever fields it has, into a mean over the last few: a single one jumps by
+// half. Without util the load is that of the single queue which would be as long as the reported one.
 func (e *endpoint) report(l Load) {
 	load, ok := l["util"]
 	if rate := l["rate"]; ok && load > 0.15 && rate > 0 {
@@ -421,8 +412,9 @@
 	e.load, e.heard = e.load+(load-e.load)*calm, e.b.now
 }
 
-// hindsight is what a load report must be multiplied by: it was made under the tables of some gathers ago, and what
-// was changed since has yet to show. Without it the penalty goes on acting on what it has mended, and swings.
+// hindsight is what a load report must be multiplied by: it was made under the tables of some gathers ago,
+// and what was changed since has yet to show. Without it the penalty goes on acting on what it has mended,
+// and swings.
 func (e *endpoint) hindsight() float64 {
 	own, then := total(e.planned), e.plans[lagGathers]
 	copy(e.plans[1:], e.plans[:])
@@ -440,11 +432,10 @@
 
 // part is this pilot's part of the endpoint's load.
 func (e *endpoint) part() float64 {
-	own := 0.0
-	for _, r := range e.b.regions {
-		own += e.view(r.zone).rate
+	if e.rate <= 0 {
+		return 1 / e.b.brief.num("instances", 1)
 	}
-	return pick(e.rate > 0, math.Max(0.25, math.Min(1, own/math.Max(e.rate, 1e-9))), 1/e.b.brief.num("instances", 1))
+	return math.Max(0.25, math.Min(1, total(e.planned)/e.rate))
 }
 
 // gather steps the penalty and tells every region the terms.
@@ -483,9 +474,10 @@
 	}
 }
 
-// judge weighs the symptoms that a zone's proxies show of this endpoint: too many failures against what the others
-// do, answers that stop, probes that time out. It should catch whatever hides behind these, a hang, a lost machine
-// or a cut; it does harm where a healthy endpoint is only slow to be heard of, so the trial follows soon.
+// judge weighs the symptoms that a zone's proxies show of this endpoint: too many failures against what the
+// others do, answers that stop, probes that time out. It should catch whatever hides behind these, a hang,
+// a lost machine or a cut; it does harm where a healthy endpoint is only slow to be heard of, so the trial
+// follows soon.
 func (e *endpoint) judge(r *region, v *view) {
 	now := e.b.now
 	if v.out {
@@ -507,8 +499,8 @@
 	due := math.Min(v.rate, r.rate*r.shares[e.Endpoint]) * (now - v.lastGood - 1500 - r.gap) / 1000
 	silent := due >= dueAnswers && now-r.last < 2*gatherMs || e.misses >= 2 && v.lastGood < e.missAt
 	if failing || silent {
-		e.b.say("endpoint %d zone %d: out, good %.1f bad %.1f due %.1f misses %d others fail %.2f", e.Endpoint, r.zone,
-			v.good, v.bad, due, e.misses, r.failing)
+		e.b.say("endpoint %d zone %d: out, good %.1f bad %.1f due %.1f misses %d others fail %.2f",
+			e.Endpoint, r.zone, v.good, v.bad, due, e.misses, r.failing)
 		v.out, v.until, v.wait = true, now+v.wait, math.Min(longWait, v.wait*waitGrowth)
 	} else if v.trust < 1 && v.good >= 1 {
 		v.trust = math.Min(1, v.trust*2)
@@ -559,8 +551,9 @@
 	}
 }
 
-// costs ranks the zones that a group can use and adds their mean penalties: the nearest costs nothing, the others
-// follow by heard latency, in steps as wide as the margin that a change of rank needs, else in the list's order.
+// costs ranks the zones that a group can use and adds their mean penalties: the nearest costs nothing, the
+// others follow by heard latency, in steps as wide as the margin that a change of rank needs, else in the
+// list's order.
 func (r *region) costs(g *kindGroup) (costs map[int]float64, home int) {
 	n, weights, prices := len(r.b.regions), map[int]float64{}, map[int]float64{}
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
@@ -596,7 +589,7 @@
 		share(lines, own)
 		for _, l := range lines {
 			r.shares[l.be] += l.x / float64(groups)
-			line := SetLine{Table: r.zone*groups + g, Endpoint: l.be, Weight: l.x}
+			line := SetLine{Table: r.zone*groups + g, Endpoint: l.be, Weight: pick(l.x > 0.004, l.x, 0)}
 			r.b.desk.post(line)
 			line.Weight *= total(r.rates) / float64(groups)
 			r.b.bes[l.be].post(line)
@@ -612,10 +605,11 @@
 	listed, cost, cap, x float64
 }
 
-// candidates lists the endpoints open to a group, with listed share, cost and cap, and the nearest zone's part of
-// all: what is missing there counts too, so that a zone short of endpoints spills. The cap keeps a cold endpoint, or
-// one on trial, at its part of the share it would have; the more the others fail the lower it is, as what fails is
-// tried again. If no warm one is trusted all are in: a line that may fail is better than none.
+// candidates lists the endpoints open to a group, with listed share, cost and cap, and the nearest zone's
+// part of all: what is missing there counts too, so that a zone short of endpoints spills. The cap keeps a
+// cold endpoint, or one on trial, at its part of the share it would have; the more the others fail the
+// lower it is, as what fails is tried again. If no warm one is trusted all are in: a line that may fail is
+// better than none.
 func (r *region) candidates(g *kindGroup) (lines []line, own float64) {
 	costs, home := r.costs(g)
 	sum, near, normal, trusted := 1e-9, 1e-9, 0.0, 0.0
@@ -624,7 +618,7 @@
 		if g.open(r.zone, o) {
 			normal += pick(o.Zone == home, o.Weight, 0)
 			if o.Phase == Ready {
-				l.listed, l.cost = o.Weight, costs[o.Zone]+single*o.price
+				l.listed, l.cost, l.cap = o.Weight, costs[o.Zone]+single*o.price, 1
 				sum += o.Weight
 				near += pick(o.Zone == home, o.Weight, 0)
 				trusted += pick(o.warmth >= 1, o.trust, 0)
@@ -636,8 +630,6 @@
 		l, o := &lines[i], r.offers[lines[i].be]
 		if part := o.warmth * pick(trusted > 0, o.trust, 1); l.listed > 0 && part < 1 {
 			l.cap = part * pick(o.warmth < 1, 1-r.failing, 1) * l.listed / pick(o.Zone == home, near, sum)
-		} else if l.listed > 0 {
-			l.cap = 1
 		}
 		l.listed /= sum
 	}
@@ -661,13 +653,10 @@
 		}
 		project(lines)
 	}
-	for i := range lines {
-		lines[i].x = pick(lines[i].x < 0.004, 0, lines[i].x)
-	}
 }
 
-// project moves the shares to where they sum to 1, none below 0 or above its cap, shifting each in proportion to its
-// listed share. Caps that leave too little room give way together.
+// project moves the shares to where they sum to 1, none below 0 or above its cap, shifting each in
+// proportion to its listed share. Caps that leave too little room give way together.
 func project(lines []line) {
 	for range 12 {
 		rest, free := 1.0, 0.0
@@ -688,9 +677,9 @@
 	}
 }
 
-// level denies part of the reqs while the endpoints that the tables use are overloaded on the whole: late answers
-// earn next to nothing and keep the queues full. The kinds with the least payoff for their response target, which
-// stands for their work, go first.
+// level denies part of the reqs while the endpoints that the tables use are overloaded on the whole: late
+// answers earn next to nothing and keep the queues full. The kinds with the least payoff for their response
+// target, which stands for their work, go first.
 func (r *region) level() {
 	load, sum, before := 0.0, 1e-9, r.shed
 	for _, i := range slices.Sorted(maps.Keys(r.shares)) {
@@ -707,12 +696,9 @@
 	}
 	all, left := total(r.asked), r.shed
 	for _, k := range r.b.byPayoff() {
-		cut := 0.0
-		if r.asked[k] > 0 {
-			cut = math.Min(1-leastLevel, left*all/r.asked[k])
-			left -= cut * r.asked[k] / all
-			r.asked[k] *= fade
-		}
+		cut := math.Min(1-leastLevel, left*all/(r.asked[k]+1e-9))
+		left -= cut * r.asked[k] / (all + 1e-9)
+		r.asked[k] *= fade
 		for g, group := range r.b.groups {
 			if group.mask&(1<<k) != 0 {
 				r.b.desk.post(Admit{Table: r.zone*len(r.b.groups) + g, Kinds: 1 << k, Level: 1 - cut})
@@ -723,11 +709,11 @@
 
 // byPayoff lists the req kinds, those with the least payoff for their response target first.
 func (b *Brain) byPayoff() (order []int) {
-	worth := func(k int) float64 { return b.kinds[k].num("payoff", 1) / b.kinds[k].num("response_target", 1000) }
-	for k := range b.kinds {
-		order = append(order, k)
+	var worth []float64
+	for k, kind := range b.kinds {
+		order, worth = append(order, k), append(worth, kind.num("payoff", 1)/kind.num("response_target", 1000))
 	}
-	sort.SliceStable(order, func(i, j int) bool { return worth(order[i]) < worth(order[j]) })
+	sort.SliceStable(order, func(i, j int) bool { return worth[order[i]] < worth[order[j]] })
 	return order
 }
 
@@ -735,14 +721,15 @@
 type courier struct {
 	inbox
 	b           *Brain
-	tables      map[int]*table
+	tables      []*table // by number: the zone's times the groups, and the group's
 	proxies     map[int]*proxy
 	shuts       []Withdraw
 	joins       []int
 	waiting, at float64 // lines that may still wait in the channel, by a cautious guess, and when that was
 }
 
-// table holds what was sent and what is wanted: weights by endpoint, and below 0 what is denied of a req kind.
+// table holds what was sent and what is wanted: weights by endpoint, and below 0 what is denied of a req
+// kind.
 type table struct{ sent, want map[int]float64 }
 
 // proxy is a joined proxy and when it was last sent a message.
@@ -754,9 +741,9 @@
 func (c *courier) take(note any) {
 	switch n := note.(type) {
 	case SetLine:
-		c.table(n.Table).want[n.Endpoint] = n.Weight
+		c.tables[n.Table].want[n.Endpoint] = n.Weight
 	case Admit:
-		c.table(n.Table).want[-n.Kinds] = 1 - n.Level
+		c.tables[n.Table].want[-n.Kinds] = 1 - n.Level
 	case Withdraw:
 		c.shuts = append(c.shuts, n)
 	case Joined:
@@ -769,15 +756,8 @@
 	}
 }
 
-func (c *courier) table(i int) *table {
-	if c.tables[i] == nil {
-		c.tables[i] = &table{map[int]float64{}, map[int]float64{}}
-	}
-	return c.tables[i]
-}
-
-// flush writes what is due: drains first, then differences, then the tables of proxies that joined. An endpoint that
-// returns is let in only after its lines are small.
+// flush writes what is due: drains first, then differences, then the tables of proxies that joined. An
+// endpoint that returns is let in only after its lines are small.
 func (c *courier) flush() {
 	c.waiting = math.Max(0, c.waiting-(c.b.now-c.at)*c.b.brief.num("lines_per_s", 1000)/2000)
 	c.at = c.b.now
@@ -787,7 +767,7 @@
 				c.write(s, -1)
 			}
 		}
-		for i := 0; out && i < len(c.b.regions)*len(c.b.groups); i++ {
+		for i := 0; out && i < len(c.tables); i++ {
 			c.push(i)
 		}
 	}
@@ -805,17 +785,18 @@
 	for g, group := range c.b.groups {
 		i := p.zone*len(c.b.groups) + g
 		c.b.order(Bind{Table: i, Proxy: name, Kinds: group.mask})
-		c.waiting += float64(len(c.table(i).sent) + 1)
+		c.waiting += float64(len(c.tables[i].sent) + 1)
 	}
 	c.waiting += c.b.brief.num("head_lines", 4)
 	p.last = c.b.now
 }
 
-// push writes a table's differences, if any are worth it and the channel has room. What must go, and a table's first
-// lines, don't wait for room. New lines come before removals: a table never runs empty on the way. Tries again stay
-// as proxies make them unasked: once, after proof that the first never ran, which is safe for every req kind.
+// push writes a table's differences, if any are worth it and the channel has room. What must go, and a
+// table's first lines, don't wait for room. New lines come before removals: a table never runs empty on the
+// way. Tries again stay as proxies make them unasked: once, after proof that the first never ran, which is
+// safe for every req kind.
 func (c *courier) push(i int) {
-	t, zone := c.table(i), i/len(c.b.groups)
+	t, zone := c.tables[i], i/len(c.b.groups)
 	var add, remove []int
 	for _, k := range slices.Sorted(maps.Keys(t.want)) {
 		want, sent := t.want[k], t.sent[k]
