--- a/brain/brain.go
+++ b/brain/brain.go
@@ -54,16 +54,12 @@
 	return fallback
 }
 
-type inbox struct{ waiting []any }
-
-// actor is a part that lives on notes alone.
-type actor interface {
-	box() *inbox
-	take(note any)
+// inbox holds the notes that wait for an actor, and how it takes one: actors live on notes alone.
+type inbox struct {
+	waiting []any
+	take    func(note any)
 }
 
-func (i *inbox) box() *inbox { return i }
-
 func (i *inbox) post(note any) { i.waiting = append(i.waiting, note) }
 
 // gather asks an endpoint for its offers, in step when a gather window has passed.
@@ -92,7 +88,7 @@
 	woken     bool
 	bes       []*endpoint
 	regions   []*region
-	actors    []actor
+	actors    []*inbox
 	desk      *courier
 	groups    []kindGroup
 	kinds     []briefing // what was told of each req kind
@@ -117,7 +113,8 @@
 	}
 	b.groups = b.groupKinds()
 	b.desk = &courier{b: b, proxies: map[int]*proxy{}}
-	b.actors = []actor{b, b.desk}
+	b.take, b.desk.take = b.book, b.desk.read
+	b.actors = []*inbox{&b.inbox, &b.desk.inbox}
 	return b
 }
 
@@ -165,9 +162,9 @@
 	b.now, b.orders = math.Max(b.now, nowMs), nil
 	if b.brief.num("slices", 0) > 0 {
 		if !b.woken {
+			b.woken = true
 			b.say("slices are not planned: stored owners stay")
 		}
-		b.woken = true
 		return b.orders
 	}
 	if !b.woken { // each pilot gathers at its own point of the window
@@ -254,18 +251,17 @@
 // drain empties all inboxes, in a fixed order, until nothing waits.
 func (b *Brain) drain() {
 	for i := 0; i < len(b.actors); i++ {
-		notes := b.actors[i].box().waiting
-		b.actors[i].box().waiting = nil
+		a := b.actors[i]
+		notes := a.waiting
+		a.waiting = nil
 		for _, n := range notes {
-			b.actors[i].take(n)
-		}
-		if len(notes) > 0 {
+			a.take(n)
 			i = -1
 		}
 	}
 }
 
-func (b *Brain) take(note any) {
+func (b *Brain) book(note any) {
 	if o, ok := note.(offer); ok && o.heard {
 		b.mean += (o.load - b.mean) / float64(len(b.bes)+1)
 		if o.speed > 0 {
@@ -276,19 +272,20 @@
 
 func (b *Brain) be(i int) *endpoint {
 	for len(b.bes) <= i {
-		b.bes = append(b.bes, &endpoint{b: b, Entry: Entry{Endpoint: len(b.bes)}, load: -1, heard: -staleMs,
-			views: map[int]*view{}, planned: map[int]float64{}})
-		b.actors = append(b.actors, b.bes[len(b.bes)-1])
+		e := &endpoint{b: b, Entry: Entry{Endpoint: len(b.bes)}, load: -1, heard: -staleMs,
+			views: map[int]*view{}, planned: map[int]float64{}}
+		e.take = e.read
+		b.bes, b.actors = append(b.bes, e), append(b.actors, &e.inbox)
 	}
 	return b.bes[i]
 }
 
 func (b *Brain) region(zone int) *region {
 	for len(b.regions) <= zone {
-		b.regions = append(b.regions, &region{b: b, zone: len(b.regions), offers: map[int]*offer{},
-			shares: map[int]float64{}, rates: map[int]float64{}, asked: map[int]float64{},
-			latency: map[int]float64{}})
-		b.actors = append(b.actors, b.regions[len(b.regions)-1])
+		r := &region{b: b, zone: len(b.regions), offers: map[int]*offer{}, shares: map[int]float64{},
+			rates: map[int]float64{}, asked: map[int]float64{}, latency: map[int]float64{}}
+		r.take = r.read
+		b.regions, b.actors = append(b.regions, r), append(b.actors, &r.inbox)
 		for range b.groups {
 			b.desk.tables = append(b.desk.tables, &table{map[int]float64{}, map[int]float64{}})
 		}
@@ -353,7 +350,7 @@
 	return e.views[zone]
 }
 
-func (e *endpoint) take(note any) {
+func (e *endpoint) read(note any) {
 	switch n := note.(type) {
 	case Entry:
 		e.relist(n)
@@ -412,9 +409,8 @@
 	e.load, e.heard = e.load+(load-e.load)*calm, e.b.now
 }
 
-// hindsight is what a load report must be multiplied by: it was made under the tables of some gathers ago,
-// and what was changed since has yet to show. Without it the penalty goes on acting on what it has mended,
-// and swings.
+// hindsight scales a load report, made under the tables of some gathers ago, by what was changed since. Without
+// it the penalty acts again on what it has mended, and swings.
 func (e *endpoint) hindsight() float64 {
 	own, then := total(e.planned), e.plans[lagGathers]
 	copy(e.plans[1:], e.plans[:])
@@ -474,10 +470,9 @@
 	}
 }
 
-// judge weighs the symptoms that a zone's proxies show of this endpoint: too many failures against what the
-// others do, answers that stop, probes that time out. It should catch whatever hides behind these, a hang,
-// a lost machine or a cut; it does harm where a healthy endpoint is only slow to be heard of, so the trial
-// follows soon.
+// judge weighs the symptoms a zone's proxies show: too many failures against the others', answers that stop,
+// probes that time out. It should catch a hang, a loss or a cut alike; it does harm where a healthy endpoint is
+// only slow to be heard of, so the trial follows soon.
 func (e *endpoint) judge(r *region, v *view) {
 	now := e.b.now
 	if v.out {
@@ -524,7 +519,7 @@
 	shed             float64         // part of the reqs to be denied
 }
 
-func (r *region) take(note any) {
+func (r *region) read(note any) {
 	switch n := note.(type) {
 	case Met:
 		good := float64(n.Tries - n.Failed)
@@ -551,9 +546,8 @@
 	}
 }
 
-// costs ranks the zones that a group can use and adds their mean penalties: the nearest costs nothing, the
-// others follow by heard latency, in steps as wide as the margin that a change of rank needs, else in the
-// list's order.
+// costs ranks the zones a group can use, home first, then by heard latency in steps as wide as the margin, then in
+// the list's order, and adds their mean penalties.
 func (r *region) costs(g *kindGroup) (costs map[int]float64, home int) {
 	n, weights, prices := len(r.b.regions), map[int]float64{}, map[int]float64{}
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
@@ -581,6 +575,7 @@
 		r.rate += (r.fresh*1000/gatherMs - r.rate) / 4
 		r.failing = r.bad / math.Max(8, r.good+r.bad)
 		r.fresh, r.good, r.bad = 0, r.good*fade, r.bad*fade
+		r.level()
 	}
 	clear(r.shares)
 	groups := len(r.b.groups)
@@ -595,9 +590,6 @@
 			r.b.bes[l.be].post(line)
 		}
 	}
-	if step {
-		r.level()
-	}
 }
 
 type line struct {
@@ -605,11 +597,9 @@
 	listed, cost, cap, x float64
 }
 
-// candidates lists the endpoints open to a group, with listed share, cost and cap, and the nearest zone's
-// part of all: what is missing there counts too, so that a zone short of endpoints spills. The cap keeps a
-// cold endpoint, or one on trial, at its part of the share it would have; the more the others fail the
-// lower it is, as what fails is tried again. If no warm one is trusted all are in: a line that may fail is
-// better than none.
+// candidates lists a group's endpoints with share, cost and cap, and the home zone's part, missing ones counted,
+// so that a zone short of endpoints spills. The cap holds cold ones and trials at a part of their share, lower
+// the more fails, as that is tried again. If no warm one is trusted all are in: a bad line is better than none.
 func (r *region) candidates(g *kindGroup) (lines []line, own float64) {
 	costs, home := r.costs(g)
 	sum, near, normal, trusted := 1e-9, 1e-9, 0.0, 0.0
@@ -655,8 +645,8 @@
 	}
 }
 
-// project moves the shares to where they sum to 1, none below 0 or above its cap, shifting each in
-// proportion to its listed share. Caps that leave too little room give way together.
+// project moves the shares to where they sum to 1, between 0 and their caps, each in proportion to its listed
+// share. Caps that leave too little room give way together.
 func project(lines []line) {
 	for range 12 {
 		rest, free := 1.0, 0.0
@@ -677,9 +667,8 @@
 	}
 }
 
-// level denies part of the reqs while the endpoints that the tables use are overloaded on the whole: late
-// answers earn next to nothing and keep the queues full. The kinds with the least payoff for their response
-// target, which stands for their work, go first.
+// level denies part of the reqs while the tables' endpoints are overloaded on the whole: late answers earn next
+// to nothing and keep queues full. The kinds with the least payoff for their target, a guess at work, go first.
 func (r *region) level() {
 	load, sum, before := 0.0, 1e-9, r.shed
 	for _, i := range slices.Sorted(maps.Keys(r.shares)) {
@@ -738,7 +727,7 @@
 	last float64
 }
 
-func (c *courier) take(note any) {
+func (c *courier) read(note any) {
 	switch n := note.(type) {
 	case SetLine:
 		c.tables[n.Table].want[n.Endpoint] = n.Weight
@@ -756,8 +745,7 @@
 	}
 }
 
-// flush writes what is due: drains first, then differences, then the tables of proxies that joined. An
-// endpoint that returns is let in only after its lines are small.
+// flush writes drains first, then differences, then returns, whose lines are small by now, then new bindings.
 func (c *courier) flush() {
 	c.waiting = math.Max(0, c.waiting-(c.b.now-c.at)*c.b.brief.num("lines_per_s", 1000)/2000)
 	c.at = c.b.now
@@ -791,10 +779,8 @@
 	p.last = c.b.now
 }
 
-// push writes a table's differences, if any are worth it and the channel has room. What must go, and a
-// table's first lines, don't wait for room. New lines come before removals: a table never runs empty on the
-// way. Tries again stay as proxies make them unasked: once, after proof that the first never ran, which is
-// safe for every req kind.
+// push writes a table's differences if the channel has room; what must go, and first lines, don't wait. Additions
+// come first: a table never runs empty. Tries again stay as proxies make them unasked, safe for every req kind.
 func (c *courier) push(i int) {
 	t, zone := c.tables[i], i/len(c.b.groups)
 	var add, remove []int
