--- a/brain/brain.go
+++ b/brain/brain.go
@@ -677,8 +677,8 @@
 	}
 	if load /= sum; load > full {
 		r.shed = math.Min(0.9, r.shed+shedStep*(1+2*r.failing))
-	} else if load < full-0.1 {
-		r.shed = math.Max(0, r.shed-shedStep/2)
+	} else if load < full-0.05 {
+		r.shed = math.Max(0, 0.8*r.shed-0.01)
 	}
 	if (before == 0) != (r.shed == 0) {
 		r.b.say("zone %d: denying %.2f, load %.2f failing %.2f", r.zone, r.shed, load, r.failing)
