--- a/brain/brain.go
+++ b/brain/brain.go
@@ -5,8 +5,9 @@
 // regions (the proxies of a zone) and the courier (the channel) are actors with inboxes. Mechanisms beside
 // the design:
 //  1. speed:     listed weights corrected by the speed that load reports show
-//  2. health:    an endpoint that fails or falls silent for a zone's proxies leaves their tables
-//  3. return:    it comes back on a small trial share that doubles while answers are good
+//  2. health:    an endpoint that fails or falls silent for a zone's proxies leaves their tables and comes back on
+//     a small trial share that doubles while answers are good
+//  3. foresight: demand known to overfill a zone prices its endpoints before reports show it
 //  4. levels:    under overload the req kinds with the least payoff for their time are let in less
 //  5. thrift:    a model of the channel defers what can wait
 //  6. hindsight: load reports are brought up to date with the tables sent since they were made
@@ -283,7 +284,7 @@
 func (b *Brain) region(zone int) *region {
 	for len(b.regions) <= zone {
 		r := &region{b: b, zone: len(b.regions), offers: map[int]*offer{}, shares: map[int]float64{},
-			rates: map[int]float64{}, asked: map[int]float64{}, latency: map[int]float64{}}
+			proxies: map[int]Joined{}, asked: map[int]float64{}, latency: map[int]float64{}}
 		r.take = r.read
 		b.regions, b.actors = append(b.regions, r), append(b.actors, &r.inbox)
 		for range b.groups {
@@ -510,7 +511,7 @@
 	zone             int
 	offers           map[int]*offer
 	shares           map[int]float64 // what the tables send to each endpoint
-	rates            map[int]float64 // what each joined proxy ordinarily gets
+	proxies          map[int]Joined  // all of this pilot's
 	latency          map[int]float64 // heard, by zone of the endpoints
 	asked            map[int]float64 // reqs by kind, fading
 	good, bad, fresh float64         // tries with and without an answer, fading; answers since the last gather
@@ -530,13 +531,11 @@
 			r.latency[o.Zone] += (n.MeanMs - old) * pick(old > 0, 0.125, 1)
 		}
 	case Joined:
-		if n.Zone == r.zone {
-			r.rates[n.Proxy] = n.Rate
-		}
+		r.proxies[n.Proxy] = n
 	case Left:
-		delete(r.rates, n.Proxy)
+		delete(r.proxies, n.Proxy)
 	case Demand:
-		if _, ours := r.rates[n.Proxy]; ours {
+		if p, ours := r.proxies[n.Proxy]; ours && p.Zone == r.zone {
 			r.asked[n.Kind] += float64(n.Reqs)
 		}
 	case offer:
@@ -547,13 +546,17 @@
 }
 
 // costs ranks the zones a group can use, home first, then by heard latency in steps as wide as the margin, then in
-// the list's order, and adds their mean penalties.
-func (r *region) costs(g *kindGroup) (costs map[int]float64, home int) {
+// the list's order, and adds their mean penalties. Own is the home zone's part of all.
+func (r *region) costs(g *kindGroup) (costs map[int]float64, home int, own float64) {
 	n, weights, prices := len(r.b.regions), map[int]float64{}, map[int]float64{}
+	load, sum, served := 0.0, 1e-9, 1e-9
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
 		if o := r.offers[i]; g.open(r.zone, o) {
-			weights[o.Zone] += o.Weight
-			prices[o.Zone] += o.Weight * o.price
+			w := o.Weight * pick(o.Phase == Ready, math.Max(0.01, o.trust*o.warmth), 0.01)
+			weights[o.Zone] += w
+			prices[o.Zone] += w * o.price
+			load, sum = load+w*o.load, sum+w
+			served += pick(r.b.brief["by_zone"] != true || r.demand(o.Zone) > 0, w, 0)
 		}
 	}
 	key := func(zone int) float64 {
@@ -566,7 +569,32 @@
 	for i, z := range zones {
 		costs[z] = pick(i == 0, 0, 1+rankStep*float64(i-1)) + (1-single)*prices[z]/weights[z]
 	}
-	return costs, append(zones, -1)[0]
+	home = append(zones, -1)[0]
+	own = weights[home] / sum
+	if home == r.zone {
+		costs[home] += r.foresight(load/sum, weights[home]/served, own)
+	}
+	return costs, home, own
+}
+
+// foresight is the price at which as much of the demand leaves the home zone as would fill it past the target:
+// demand and weights are known seconds before reports show it.
+func (r *region) foresight(mean, part, own float64) float64 {
+	seen := float64(len(r.proxies)) / r.b.brief.num("proxy_count", 1)
+	if seen = math.Min(1, seen); r.b.brief["by_zone"] == true {
+		seen = 1
+	}
+	crowd := seen*r.demand(r.zone)/math.Max(part*r.demand(-1), 1e-9) + 1 - seen
+	stay := math.Max(knee, mean) / math.Max(mean*crowd, 1e-9)
+	return pick(stay < 1, math.Max(0, 1-(stay-own)/(reach*math.Max(1-own, 0.1))), 0)
+}
+
+// demand is what the joined proxies of a zone (all, below 0) ordinarily get.
+func (r *region) demand(zone int) (sum float64) {
+	for _, i := range slices.Sorted(maps.Keys(r.proxies)) {
+		sum += pick(zone < 0 || r.proxies[i].Zone == zone, r.proxies[i].Rate, 0)
+	}
+	return sum
 }
 
 // solve lays this region's tables, one for each group of req kinds.
@@ -586,7 +614,7 @@
 			r.shares[l.be] += l.x / float64(groups)
 			line := SetLine{Table: r.zone*groups + g, Endpoint: l.be, Weight: pick(l.x > 0.004, l.x, 0)}
 			r.b.desk.post(line)
-			line.Weight *= total(r.rates) / float64(groups)
+			line.Weight *= r.demand(r.zone) / float64(groups)
 			r.b.bes[l.be].post(line)
 		}
 	}
@@ -601,12 +629,11 @@
 // so that a zone short of endpoints spills. The cap holds cold ones and trials at a part of their share, lower
 // the more fails, as that is tried again. If no warm one is trusted all are in: a bad line is better than none.
 func (r *region) candidates(g *kindGroup) (lines []line, own float64) {
-	costs, home := r.costs(g)
-	sum, near, normal, trusted := 1e-9, 1e-9, 0.0, 0.0
+	costs, home, own := r.costs(g)
+	sum, near, trusted := 1e-9, 1e-9, 0.0
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
 		o, l := r.offers[i], line{be: i}
 		if g.open(r.zone, o) {
-			normal += pick(o.Zone == home, o.Weight, 0)
 			if o.Phase == Ready {
 				l.listed, l.cost, l.cap = o.Weight, costs[o.Zone]+single*o.price, 1
 				sum += o.Weight
@@ -623,7 +650,7 @@
 		}
 		l.listed /= sum
 	}
-	return lines, normal / sum
+	return lines, own
 }
 
 // share runs the projected-gradient loop from the listed shares.
