--- a/brain/brain.go
+++ b/brain/brain.go
@@ -703,7 +703,7 @@
 		sum += r.shares[i]
 	}
 	if load /= sum; load > full || load > knee && r.failing > 0.2 {
-		r.shed = math.Min(0.9, r.shed+(1-r.shed)*(shedStep+r.failing/2))
+		r.shed = math.Min(0.9, r.shed+(1-r.shed)*(shedStep+r.failing/8))
 	} else if load < full-0.05 {
 		r.shed = math.Max(0, 0.8*r.shed-0.01)
 	}
