--- a/brain/brain.go
+++ b/brain/brain.go
@@ -34,6 +34,7 @@
 	trialPart  = 0.06   // share of its normal weight that an endpoint on trial gets
 	dueAnswers = 8.0    // answers that must be missing before an endpoint counts as silent
 	fade       = 0.6    // what a gather leaves of the counts before it
+	longQueue  = 30.0   // a queue that counts as much as a whole load on top of a full one
 	everyKind  = 31     // req kinds that a bit mask can name
 )
 
@@ -398,7 +399,7 @@
 	}
 	for _, field := range []string{"waiting", "in_hand"} {
 		if q, has := l[field]; has && !ok {
-			load, ok = (math.Sqrt(q*q+4*q)-q)/2, true
+			load, ok = (math.Sqrt(q*q+4*q)-q)/2+q/longQueue, true
 		}
 	}
 	if !ok {
@@ -699,7 +700,7 @@
 func (r *region) level() {
 	load, sum, before := 0.0, 1e-9, r.shed
 	for _, i := range slices.Sorted(maps.Keys(r.shares)) {
-		load += r.shares[i] * r.offers[i].load
+		load += r.shares[i] * math.Min(1, r.offers[i].load)
 		sum += r.shares[i]
 	}
 	if load /= sum; load > full || load > knee && r.failing > 0.2 {
