--- a/brain/brain.go
+++ b/brain/brain.go
@@ -34,7 +34,7 @@
 	trialPart  = 0.06   // share of its normal weight that an endpoint on trial gets
 	dueAnswers = 8.0    // answers that must be missing before an endpoint counts as silent
 	fade       = 0.6    // what a gather leaves of the counts before it
-	longQueue  = 30.0   // a queue that counts as much as a whole load on top of a full one
+	longQueue  = 10.0   // a queue that counts as much as a whole load on top of a full one
 	everyKind  = 31     // req kinds that a bit mask can name
 )
 
