--- a/brain/brain.go
+++ b/brain/brain.go
@@ -5,8 +5,7 @@
 // regions (the proxies of a zone) and the courier (the channel) are actors with inboxes. Mechanisms beside
 // the design:
 //  1. speed:     listed weights corrected by the speed that load reports show
-//  2. health:    an endpoint that fails or falls silent for a zone's proxies leaves their tables and comes back on
-//     a small trial share that doubles while answers are good
+//  2. health:    an endpoint that fails or falls silent for a zone's proxies leaves and returns by trial
 //  3. foresight: demand known to overfill a zone prices its endpoints before reports show it
 //  4. levels:    under overload the req kinds with the least payoff for their time are let in less
 //  5. thrift:    a model of the channel defers what can wait
@@ -35,7 +34,6 @@
 	dueAnswers = 8.0    // answers that must be missing before an endpoint counts as silent
 	fade       = 0.6    // what a gather leaves of the counts before it
 	longQueue  = 10.0   // a queue that counts as much as a whole load on top of a full one
-	everyKind  = 31     // req kinds that a bit mask can name
 )
 
 // What comes in sets: a clear margin of latency and the cost of a rank; first, longest and growing waits
@@ -46,7 +44,6 @@
 	full, shedStep, leastLevel      = 0.9, 0.06, 0.1
 )
 
-// briefing is what the pilot was told at its start: a plain map of names to values.
 type briefing map[string]any
 
 func (t briefing) num(name string, fallback float64) float64 {
@@ -64,13 +61,11 @@
 
 func (i *inbox) post(note any) { i.waiting = append(i.waiting, note) }
 
-// gather asks an endpoint for its offers, in step when a gather window has passed.
 type gather struct {
 	step        bool
 	mean, speed float64 // of all loads, and of the speeds in the endpoint's class
 }
 
-// offer tells a region, or the pilot, on what terms an endpoint takes part.
 type offer struct {
 	Entry
 	price, trust, load, speed, warmth float64
@@ -98,7 +93,6 @@
 	orders    []Order
 }
 
-// kindGroup is a set of req kinds with the same open endpoints.
 type kindGroup struct {
 	mask            int
 	machines, zones []any
@@ -109,11 +103,13 @@
 func New(seed int64, terms map[string]any) *Brain {
 	b := &Brain{brief: terms, mean: knee / 2}
 	kinds, _ := terms["req_kinds"].([]any)
-	for _, k := range kinds[:min(len(kinds), everyKind)] {
+	for _, k := range kinds[:min(len(kinds), 31)] {
 		m, _ := k.(map[string]any)
 		b.kinds = append(b.kinds, m)
 	}
-	b.groups = b.groupKinds()
+	if b.brief.num("slices", 0) == 0 { // else there is nothing to lay tables for
+		b.groupKinds()
+	}
 	b.desk = &courier{b: b, proxies: map[int]*proxy{}}
 	b.take, b.desk.take = b.book, b.desk.read
 	b.actors = []*inbox{&b.inbox, &b.desk.inbox}
@@ -121,37 +117,28 @@
 }
 
 // groupKinds puts req kinds with the same open endpoints together.
-func (b *Brain) groupKinds() []kindGroup {
-	var groups []kindGroup
+func (b *Brain) groupKinds() {
 	seen := map[string]int{}
 	own, _ := b.brief["kind_own_zone"].([]any)
 	for i, kind := range b.kinds {
-		g := kindGroup{}
+		g := kindGroup{ownZone: i < len(own) && own[i] == true}
 		g.machines, _ = kind["only_machines"].([]any)
 		g.zones, _ = kind["only_zones"].([]any)
-		g.ownZone = i < len(own) && own[i] == true
 		key := fmt.Sprint(g)
 		if _, ok := seen[key]; !ok {
-			seen[key] = len(groups)
-			groups = append(groups, g)
+			seen[key] = len(b.groups)
+			b.groups = append(b.groups, g)
 		}
-		groups[seen[key]].mask |= 1 << i
-	}
-	if len(groups) == 0 {
-		return make([]kindGroup, 1)
+		b.groups[seen[key]].mask |= 1 << i
 	}
-	return groups
 }
 
-// open tells whether the group's reqs may go to an endpoint from a zone.
 func (g *kindGroup) open(zone int, o *offer) bool {
 	return (!g.ownZone || o.Zone == zone) && holds(g.machines, o.Machine) && holds(g.zones, o.Zone)
 }
 
 // holds tells whether a list names an index; an empty list names all.
-func holds(list []any, index int) bool {
-	return len(list) == 0 || slices.Contains(list, any(float64(index)))
-}
+func holds(list []any, i int) bool { return len(list) == 0 || slices.Contains(list, any(float64(i))) }
 
 func (b *Brain) say(format string, args ...any) { b.order(Log{fmt.Sprintf(format, args...)}) }
 
@@ -162,17 +149,13 @@
 // Handle takes all notes of one moment and returns the orders they lead to.
 func (b *Brain) Handle(nowMs float64, notes []Note) []Order {
 	b.now, b.orders = math.Max(b.now, nowMs), nil
-	if b.brief.num("slices", 0) > 0 {
-		if !b.woken {
-			b.woken = true
-			b.say("slices are not planned: stored owners stay")
-		}
-		return b.orders
-	}
 	if !b.woken { // each pilot gathers at its own point of the window
 		b.woken = true
 		rank, _ := b.brief["rank"].(float64)
 		b.wake(gatherMs * (1 + rank/b.brief.num("instances", 1)) / 2)
+		if b.brief.num("slices", 0) > 0 {
+			b.say("slices are not planned: stored owners stay")
+		}
 		if b.brief["discovery"] == "on_request" {
 			b.order(Watch{On: true})
 		}
@@ -186,7 +169,6 @@
 	return b.orders
 }
 
-// sort puts a note from outside into the inboxes it concerns.
 func (b *Brain) sort(n Note) {
 	switch n := n.(type) {
 	case Listing:
@@ -235,7 +217,6 @@
 	b.round(false)
 }
 
-// round asks all endpoints for offers, then all regions for tables.
 func (b *Brain) round(step bool) {
 	b.drain()
 	if step {
@@ -295,18 +276,16 @@
 	return b.regions[zone]
 }
 
-// endpoint is the actor of one server.
 type endpoint struct {
 	inbox
 	Entry
 	b                 *Brain
 	listed            bool
 	load, heard, rate float64 // of the last reports: load (below 0: none), when, reqs a second
-	price             float64 // the penalty lambda
+	price, missAt     float64 // the penalty lambda; when probes began to miss
+	misses            int     // probes without an answer in a row
 	speeds            histogram
 	views             map[int]*view
-	misses            int // probes without an answer in a row, the first at missAt
-	missAt            float64
 	planned           map[int]float64         // reqs a second that each table brings
 	plans             [lagGathers + 1]float64 // their sum at this and earlier gathers
 }
@@ -411,8 +390,8 @@
 	e.load, e.heard = e.load+(load-e.load)*calm, e.b.now
 }
 
-// hindsight scales a load report, made under the tables of some gathers ago, by what was changed since. Without
-// it the penalty acts again on what it has mended, and swings.
+// hindsight scales a load report by what the tables changed since it was made: without it the penalty acts
+// again on what it has mended, and swings.
 func (e *endpoint) hindsight() float64 {
 	own, then := total(e.planned), e.plans[lagGathers]
 	copy(e.plans[1:], e.plans[:])
@@ -420,7 +399,6 @@
 	return pick(then > 0, 1+e.part()*(math.Max(0.25, math.Min(4, own/math.Max(then, 1e-9)))-1), 1)
 }
 
-// total sums in a fixed order.
 func total(rates map[int]float64) (sum float64) {
 	for _, k := range slices.Sorted(maps.Keys(rates)) {
 		sum += rates[k]
@@ -428,7 +406,6 @@
 	return sum
 }
 
-// part is this pilot's part of the endpoint's load.
 func (e *endpoint) part() float64 {
 	if e.rate <= 0 {
 		return 1 / e.b.brief.num("instances", 1)
@@ -442,10 +419,10 @@
 		return
 	}
 	speed, seen := e.speeds.mean()
-	o := offer{Entry: e.Entry, load: n.mean, speed: speed, warmth: 1}
-	if o.heard = e.b.now-e.heard < staleMs && e.load >= 0; o.heard {
-		o.load = e.load
-	}
+	o := offer{Entry: e.Entry, speed: speed, heard: e.b.now-e.heard < staleMs && e.load >= 0}
+	o.load = pick(o.heard, e.load, n.mean)
+	age := (e.b.now - e.Started) / e.b.brief.num("cold", 10000) // a new endpoint gets next to nothing at first
+	o.warmth = pick(e.Started == 0, 1, math.Max(0.01, math.Min(1, age)))
 	if n.step {
 		load := o.load * e.hindsight()
 		e.price = math.Max(0, math.Min(priciest, e.price+theta*e.part()*(load*load-knee*knee)))
@@ -459,9 +436,6 @@
 	if o.speed > 0 && n.speed > 0 {
 		o.Weight *= math.Pow(math.Max(0.4, math.Min(2.5, o.speed/n.speed)), seen/(seen+2))
 	}
-	if e.Started != 0 { // a cold endpoint warms over the stated span; a new one gets next to nothing
-		o.warmth = math.Max(0.01, math.Min(1, (e.b.now-e.Started)/e.b.brief.num("cold", 10000)))
-	}
 	for _, r := range e.b.regions {
 		v := e.view(r.zone)
 		if n.step {
@@ -473,7 +447,7 @@
 }
 
 // judge weighs the symptoms a zone's proxies show: too many failures against the others', answers that stop,
-// probes that time out. It should catch a hang, a loss or a cut alike; it does harm where a healthy endpoint is
+// probes unanswered. It should catch a hang, a loss or a cut alike, and does harm where a healthy endpoint is
 // only slow to be heard of, so the trial follows soon.
 func (e *endpoint) judge(r *region, v *view) {
 	now := e.b.now
@@ -484,9 +458,6 @@
 		}
 		return
 	}
-	if e.Phase != Ready {
-		return
-	}
 	ratio := v.bad / math.Max(1, v.good+v.bad)
 	busy := e.load > knee && now-e.heard < staleMs // overload is the penalty's business
 	failing := v.bad >= 3 && ratio > 0.3+1.5*r.failing && !busy
@@ -495,7 +466,7 @@
 	}
 	due := math.Min(v.rate, r.rate*r.shares[e.Endpoint]) * (now - v.lastGood - 1500 - r.gap) / 1000
 	silent := due >= dueAnswers && now-r.last < 2*gatherMs || e.misses >= 2 && v.lastGood < e.missAt
-	if failing || silent {
+	if e.Phase == Ready && (failing || silent) {
 		e.b.say("endpoint %d zone %d: out, good %.1f bad %.1f due %.1f misses %d others fail %.2f",
 			e.Endpoint, r.zone, v.good, v.bad, due, e.misses, r.failing)
 		v.out, v.until, v.wait = true, now+v.wait, math.Min(longWait, v.wait*waitGrowth)
@@ -505,20 +476,17 @@
 	v.good, v.bad = v.good*fade, v.bad*fade
 }
 
-// region is the actor of one zone's proxies.
 type region struct {
 	inbox
 	b                *Brain
 	zone             int
 	offers           map[int]*offer
-	shares           map[int]float64 // what the tables send to each endpoint
 	proxies          map[int]Joined  // all of this pilot's
-	latency          map[int]float64 // heard, by zone of the endpoints
-	asked            map[int]float64 // reqs by kind, fading
-	good, bad, fresh float64         // tries with and without an answer, fading; answers since the last gather
+	shares           map[int]float64 // what the tables send to each endpoint
+	latency, asked   map[int]float64 // heard, by zone of the endpoints; reqs by kind, fading
+	good, bad, fresh float64         // tries with and without an answer, fading; answers in this gather
 	rate, failing    float64         // answers a second; part of the tries that fail
-	last, gap        float64         // when the last line came; mean span that a line covers
-	shed             float64         // part of the reqs to be denied
+	last, gap, shed  float64         // when a line last came, the span it covers; part to be denied
 }
 
 func (r *region) read(note any) {
@@ -546,9 +514,9 @@
 	}
 }
 
-// costs ranks the zones a group can use, home first, then by heard latency in steps as wide as the margin, then in
-// the list's order, and adds their mean penalties. Own is the home zone's part of all.
-func (r *region) costs(g *kindGroup) (costs map[int]float64, home int, own float64) {
+// costs ranks a group's zones, home first, then by heard latency in steps as wide as the margin, then in the
+// list's order, and adds their mean penalties. Own is the home zone's part of all.
+func (r *region) costs(g *kindGroup) (costs map[int]float64, own float64) {
 	n, weights, prices := len(r.b.regions), map[int]float64{}, map[int]float64{}
 	load, sum, served := 0.0, 1e-9, 1e-9
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
@@ -570,16 +538,16 @@
 	for i, z := range zones {
 		costs[z] = pick(i == 0, 0, 1+rankStep*float64(i-1)) + (1-single)*prices[z]/weights[z]
 	}
-	home = append(zones, -1)[0]
+	home := append(zones, -1)[0]
 	own = weights[home] / sum
 	if home == r.zone {
 		costs[home] += r.foresight(load/sum, weights[home]/served, own)
 	}
-	return costs, home, own
+	return costs, own
 }
 
-// foresight is the price at which as much of the demand leaves the home zone as would fill it past the target:
-// demand and weights are known seconds before reports show it.
+// foresight prices the home zone so that it keeps the demand that fills it to the target: demand and weights are
+// known seconds before reports. It does harm where proxies' ordinary rates are far off.
 func (r *region) foresight(mean, part, own float64) float64 {
 	seen := float64(len(r.proxies)) / r.b.brief.num("proxy_count", 1)
 	if seen = math.Min(1, seen); r.b.brief["by_zone"] == true {
@@ -598,7 +566,6 @@
 	return sum
 }
 
-// solve lays this region's tables, one for each group of req kinds.
 func (r *region) solve(step bool) {
 	if step {
 		r.rate += (r.fresh*1000/gatherMs - r.rate) / 4
@@ -626,19 +593,18 @@
 	listed, cost, cap, x float64
 }
 
-// candidates lists a group's endpoints with share, cost and cap, and the home zone's part, missing ones counted,
-// so that a zone short of endpoints spills. The cap holds cold ones and trials at a part of their share, lower
-// the more fails, as that is tried again. If no warm one is trusted all are in: a bad line is better than none.
+// candidates lists a group's endpoints with share, cost and cap. Caps hold cold ones and trials at a part of their
+// listed share, lower the more fails, as that is tried again. Without a trusted warm one all are in: a bad line
+// is better than none.
 func (r *region) candidates(g *kindGroup) (lines []line, own float64) {
-	costs, home, own := r.costs(g)
-	sum, near, trusted := 1e-9, 1e-9, 0.0
+	costs, own := r.costs(g)
+	sum, trusted := 1e-9, 0.0
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
 		o, l := r.offers[i], line{be: i}
 		if g.open(r.zone, o) {
 			if o.Phase == Ready {
 				l.listed, l.cost, l.cap = o.Weight, costs[o.Zone]+single*o.price, 1
 				sum += o.Weight
-				near += pick(o.Zone == home, o.Weight, 0)
 				trusted += pick(o.warmth >= 1, o.trust, 0)
 			}
 		}
@@ -647,18 +613,16 @@
 	for i := range lines {
 		l, o := &lines[i], r.offers[lines[i].be]
 		if part := o.warmth * pick(trusted > 0, o.trust, 1); l.listed > 0 && part < 1 {
-			l.cap = part * pick(o.warmth < 1, 1-r.failing, 1) * l.listed / pick(o.Zone == home, near, sum)
+			l.cap = part * pick(o.warmth < 1, 1-r.failing, 1) * l.listed / sum
 		}
 		l.listed /= sum
+		l.x = l.listed
 	}
 	return lines, own
 }
 
 // share runs the projected-gradient loop from the listed shares.
 func share(lines []line, own float64) {
-	for i := range lines {
-		lines[i].x = lines[i].listed
-	}
 	project(lines)
 	const steps = 24
 	for range steps {
@@ -695,8 +659,8 @@
 	}
 }
 
-// level denies part of the reqs while the tables' endpoints are overloaded on the whole: late answers earn next
-// to nothing and keep queues full. The kinds with the least payoff for their target, a guess at work, go first.
+// level denies reqs while the tables' endpoints are overloaded on the whole: late answers earn little and keep
+// queues full. The kinds with the least payoff for their target, a guess at their work, go first.
 func (r *region) level() {
 	load, sum, before := 0.0, 1e-9, r.shed
 	for _, i := range slices.Sorted(maps.Keys(r.shares)) {
@@ -745,11 +709,9 @@
 	waiting, at float64 // lines that may still wait in the channel, by a cautious guess, and when that was
 }
 
-// table holds what was sent and what is wanted: weights by endpoint, and below 0 what is denied of a req
-// kind.
+// table holds weights by endpoint and, below 0, what is denied of req kinds, as sent and as wanted.
 type table struct{ sent, want map[int]float64 }
 
-// proxy is a joined proxy and when it was last sent a message.
 type proxy struct {
 	zone int
 	last float64
@@ -807,8 +769,8 @@
 	p.last = c.b.now
 }
 
-// push writes a table's differences if the channel has room; what must go, and first lines, don't wait. Additions
-// come first: a table never runs empty. Tries again stay as proxies make them unasked, safe for every req kind.
+// push writes a table's differences if there is room; what must go, and first lines, don't wait. Additions come
+// first, so no table runs empty. Tries again stay as proxies make them unasked, safe for every req kind.
 func (c *courier) push(i int) {
 	t, zone := c.tables[i], i/len(c.b.groups)
 	var add, remove []int
@@ -856,13 +818,9 @@
 func (c *courier) write(o Order, zone int) {
 	c.b.order(o)
 	for _, p := range c.proxies {
-		if zone >= 0 && p.zone != zone {
-			continue
-		}
-		c.waiting++
-		if p.last != c.b.now {
+		if zone < 0 || p.zone == zone {
+			c.waiting += 1 + pick(p.last != c.b.now, c.b.brief.num("head_lines", 4), 0)
 			p.last = c.b.now
-			c.waiting += c.b.brief.num("head_lines", 4)
 		}
 	}
 }
