--- a/brain/brain.go
+++ b/brain/brain.go
@@ -424,7 +424,7 @@
 	age := (e.b.now - e.Started) / e.b.brief.num("cold", 10000) // a new endpoint gets next to nothing at first
 	o.warmth = pick(e.Started == 0, 1, math.Max(0.01, math.Min(1, age)))
 	if n.step {
-		load := o.load * e.hindsight()
+		load := o.load * pick(o.heard, e.hindsight(), 1)
 		e.price = math.Max(0, math.Min(priciest, e.price+theta*e.part()*(load*load-knee*knee)))
 		e.b.post(o)
 		every := int(pick(seen < 8, 1, e.b.brief.num("instances", 1)))
--- /dev/null
+++ b/brain/brain_test.go
@@ -0,0 +1,362 @@
+package brain
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// bench drives one Brain by hand and keeps what its orders add up to.
+type bench struct {
+	t        *testing.T
+	b        *Brain
+	now      float64
+	lines    map[int]map[int]float64
+	out      map[int]bool
+	levels   map[string]Admit
+	bound    map[int][]Bind
+	sets     int // lines ordered in the last step
+	messages int // orders of any line in the last step
+	probes   int
+	logs     []string
+}
+
+// pilot starts a Brain with three zones of two endpoints (0,1 / 2,3 / 4,5) and a proxy in zones 0 and 1.
+func pilot(t *testing.T, change func(terms map[string]any, entries []Entry)) *bench {
+	terms := map[string]any{
+		"instances": 1.0, "rank": 0.0, "lines_per_s": 1000.0, "head_lines": 4.0, "backlog": 1500.0, "cold": 10000.0,
+		"messages_most": 30.0, "messages_over": 10000.0, "admission": "share", "retry_default": 1.0, "proxy_count": 2.0,
+		"req_kinds": []any{
+			map[string]any{"payoff": 1.0, "response_target": 1000.0, "repeats": "replayable"},
+			map[string]any{"payoff": 5.0, "response_target": 500.0, "repeats": "non-replayable"},
+		},
+	}
+	var entries []Entry
+	for i := range 6 {
+		entries = append(entries, Entry{Endpoint: i, Zone: i / 2, Machine: i % 2, Weight: 2})
+	}
+	if change != nil {
+		change(terms, entries)
+	}
+	p := &bench{t: t, b: New(1, terms), lines: map[int]map[int]float64{}, out: map[int]bool{},
+		levels: map[string]Admit{}, bound: map[int][]Bind{}}
+	p.step(Listing{Mode: Remembered, Entries: entries})
+	p.step(Joined{Proxy: 0, Zone: 0, Rate: 20}, Joined{Proxy: 1, Zone: 1, Rate: 20})
+	return p
+}
+
+// step hands notes over and checks what holds for all orders.
+func (p *bench) step(notes ...Note) []Order {
+	orders := p.b.Handle(p.now, notes)
+	p.sets, p.messages, p.probes = 0, 0, 0
+	for _, o := range orders {
+		switch o := o.(type) {
+		case SetLine:
+			require.False(p.t, math.IsNaN(o.Weight) || math.IsInf(o.Weight, 0) || o.Weight < 0, "%+v", o)
+			if p.lines[o.Table] == nil {
+				p.lines[o.Table] = map[int]float64{}
+			}
+			p.lines[o.Table][o.Endpoint] = o.Weight
+			p.sets++
+		case Withdraw:
+			p.out[o.Endpoint] = o.Out
+		case Admit:
+			p.levels[fmt.Sprint(o.Table, "/", o.Kinds)] = o
+		case Bind:
+			p.bound[o.Proxy] = append(p.bound[o.Proxy], o)
+		case Probe:
+			p.probes++
+		case Log:
+			p.logs = append(p.logs, o.Text)
+		}
+		switch o.(type) {
+		case SetLine, Withdraw, Admit, Bind:
+			p.messages++
+		}
+	}
+	return orders
+}
+
+// gather lets whole windows pass, with the notes that each brings.
+func (p *bench) gather(windows int, notes func() []Note) {
+	for range windows {
+		p.now += gatherMs
+		var all []Note
+		if notes != nil {
+			all = notes()
+		}
+		p.step(append(all, Alarm{"gather"})...)
+	}
+}
+
+// tries are one window's lines from a zone: good and failed tries and a load for each endpoint named.
+func tries(zone, good, failed int, util float64, endpoints ...int) (notes []Note) {
+	for _, e := range endpoints {
+		m := Met{Endpoint: e, Zone: zone, Tries: good + failed, Failed: failed, MeanMs: 100, SpanMs: 1000}
+		if util >= 0 {
+			m.Load = Load{"util": util, "rate": 20 * util}
+		}
+		notes = append(notes, m)
+	}
+	return notes
+}
+
+// share is the part of a table's weight on endpoints that can be picked.
+func (p *bench) share(table int, endpoints ...int) float64 {
+	sum, part := 0.0, 0.0
+	for e, w := range p.lines[table] {
+		sum += w
+		for _, want := range endpoints {
+			if e == want {
+				part += w
+			}
+		}
+	}
+	return part / sum
+}
+
+func TestOrdinaryPath(t *testing.T) {
+	all := []int{0, 1, 2, 3, 4, 5}
+	for name, c := range map[string]struct {
+		loads             func() []Note
+		windows           int
+		ownLeast, ownMost float64
+	}{
+		"no reports: own zone alone":       {nil, 5, 1, 1},
+		"modest load: own zone alone":      {func() []Note { return tries(0, 10, 0, 0.4, all...) }, 10, 1, 1},
+		"own zone overfull: it spills":     {func() []Note { return append(tries(0, 10, 0, 1, 0, 1), tries(0, 2, 0, 0.2, 2, 3, 4, 5)...) }, 12, 0.1, 0.9},
+		"all overfull alike: home is best": {func() []Note { return tries(0, 10, 0, 1, all...) }, 12, 0.5, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := pilot(t, nil)
+			p.gather(c.windows, c.loads)
+			own := p.share(0, 0, 1)
+			assert.GreaterOrEqual(t, own, c.ownLeast-1e-9)
+			assert.LessOrEqual(t, own, c.ownMost+1e-9)
+		})
+	}
+}
+
+func TestPenaltyRisesAboveTargetAndComesDown(t *testing.T) {
+	p := pilot(t, nil)
+	p.gather(6, func() []Note { return tries(0, 10, 0, 1, 0) })
+	high := p.b.bes[0].price
+	assert.Greater(t, high, 0.3)
+	assert.LessOrEqual(t, high, priciest)
+	p.gather(12, func() []Note { return tries(0, 10, 0, 0.2, 0) })
+	assert.Zero(t, p.b.bes[0].price)
+	assert.Zero(t, p.b.bes[5].price, "no reports: the penalty stays 0")
+}
+
+func TestProject(t *testing.T) {
+	for name, c := range map[string]struct {
+		lines []line
+		want  []float64
+	}{
+		"in proportion":      {[]line{{listed: 0.25, cap: 1}, {listed: 0.75, cap: 1}}, []float64{0.25, 0.75}},
+		"never below 0":      {[]line{{listed: 0.5, cap: 1, x: -2}, {listed: 0.5, cap: 1, x: 0.5}}, []float64{0.25, 0.75}},
+		"cap passes it on":   {[]line{{listed: 0.5, cap: 0.1, x: 0.5}, {listed: 0.5, cap: 1, x: 0.5}}, []float64{0.1, 0.9}},
+		"caps widen equally": {[]line{{listed: 0.5, cap: 0.1, x: 1}, {listed: 0.5, cap: 0.3, x: 1}}, []float64{0.25, 0.75}},
+		"nothing listed":     {[]line{{}, {}}, []float64{0, 0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			project(c.lines)
+			for i, l := range c.lines {
+				assert.InDelta(t, c.want[i], l.x, 1e-3)
+			}
+		})
+	}
+}
+
+func TestOnlyDifferencesAreSent(t *testing.T) {
+	p := pilot(t, nil)
+	steady := func() []Note { return tries(0, 10, 0, 0.5, 0, 1) }
+	p.gather(8, steady)
+	for range 5 {
+		p.gather(1, steady)
+		assert.Zero(t, p.messages)
+	}
+	for proxy, binds := range p.bound {
+		assert.Len(t, binds, 1, "one shared table for each zone, proxy %d", proxy)
+	}
+}
+
+func TestColdEndpointIsCapped(t *testing.T) {
+	p := pilot(t, nil)
+	p.now = 100000
+	p.step(Listing{Mode: Changes, Entries: []Entry{{Endpoint: 0, Zone: 0, Weight: 2, Started: p.now - 500}}})
+	last := 0.0
+	for age := 1.5; age < 9; age++ {
+		p.gather(1, nil)
+		share := p.share(0, 0)
+		assert.LessOrEqual(t, share, 0.5*age/10+1e-9)
+		assert.GreaterOrEqual(t, share, last-1e-9)
+		last = share
+	}
+	p.gather(4, nil)
+	assert.InDelta(t, 0.5, p.share(0, 0), 0.1, "warm again")
+}
+
+func TestDrainsAndReturns(t *testing.T) {
+	for name, phase := range map[string]Phase{"draining": Draining, "gone": Gone} {
+		t.Run(name, func(t *testing.T) {
+			p := pilot(t, nil)
+			first := p.step(Listing{Mode: Changes, Entries: []Entry{{Endpoint: 0, Zone: 0, Weight: 2, Phase: phase}}})
+			require.NotEmpty(t, first)
+			assert.Equal(t, Withdraw{0, true}, first[0], "drains come first, at once")
+			assert.Zero(t, p.lines[0][0])
+			p.now = 50000
+			p.step(Listing{Mode: Changes, Entries: []Entry{{Endpoint: 0, Zone: 0, Weight: 2, Started: p.now}}})
+			assert.False(t, p.out[0])
+			assert.Less(t, p.share(0, 0), 0.05, "back as a cold one")
+		})
+	}
+	p := pilot(t, nil)
+	p.step(Listing{Mode: Whole, Entries: []Entry{{Endpoint: 1, Zone: 0, Weight: 2}}})
+	assert.True(t, p.out[0] && p.out[5] && !p.out[1], "what a whole list leaves out is gone")
+}
+
+func TestSymptoms(t *testing.T) {
+	others := []int{1, 2, 3, 4, 5}
+	for name, c := range map[string]struct {
+		notes func() []Note
+		gone  bool
+	}{
+		"fails fast":            {func() []Note { return append(tries(0, 3, 9, 0.3, 0), tries(0, 10, 0, 0.3, others...)...) }, true},
+		"falls silent":          {func() []Note { return tries(0, 20, 0, 0.3, others...) }, true},
+		"fails when overloaded": {func() []Note { return append(tries(0, 3, 9, 1, 0), tries(0, 10, 0, 0.3, others...)...) }, false},
+		"all fail alike":        {func() []Note { return tries(0, 4, 8, 0.3, 0, 1, 2, 3, 4, 5) }, false},
+		"probes time out": {func() []Note {
+			return append(tries(0, 10, 0, -1, others...), Probed{Endpoint: 0, Outcome: "T"})
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := pilot(t, nil)
+			p.gather(6, func() []Note { return tries(0, 20, 0, 0.3, 0, 1, 2, 3, 4, 5) })
+			p.gather(4, c.notes)
+			assert.Equal(t, c.gone, p.lines[0][0] == 0)
+			assert.Greater(t, p.lines[1][2], 0.0, "the other zone's table is judged by its own proxies")
+		})
+	}
+}
+
+func TestTrialsGrowRarer(t *testing.T) {
+	p := pilot(t, nil)
+	sick := func() []Note { return append(tries(0, 0, 10, 0.3, 0), tries(0, 10, 0, 0.3, 1, 2, 3)...) }
+	out := 0
+	p.gather(30, func() []Note {
+		if p.lines[0][0] == 0 {
+			out++
+			return tries(0, 10, 0, 0.3, 1, 2, 3)
+		}
+		assert.True(t, out == 0 || p.share(0, 0) < 0.2, "a trial is small")
+		return sick()
+	})
+	assert.Greater(t, out, 15)
+	p.gather(30, func() []Note { return tries(0, 20, 0, 0.3, 0, 1, 2, 3) })
+	assert.InDelta(t, 0.5, p.share(0, 0), 0.15, "it returns once answers are good")
+}
+
+func TestNoProxyIsLeftBare(t *testing.T) {
+	p := pilot(t, nil)
+	p.gather(6, func() []Note { return tries(0, 20, 0, 0.3, 0, 1, 2, 3, 4, 5) })
+	p.gather(20, func() []Note { return tries(0, 0, 20, -1, 0, 1, 2, 3, 4, 5) })
+	sum := 0.0
+	for _, w := range p.lines[0] {
+		sum += w
+	}
+	assert.Greater(t, sum, 0.5)
+}
+
+func TestLevels(t *testing.T) {
+	full := func() []Note {
+		return append(tries(0, 10, 10, 1, 0, 1, 2, 3, 4, 5), Demand{Proxy: 0, Kind: 0, Reqs: 10}, Demand{Proxy: 0, Kind: 1, Reqs: 10})
+	}
+	p := pilot(t, nil)
+	p.gather(8, full)
+	low, ok := p.levels["0/1"]
+	require.True(t, ok, "overload denies the kind with the least payoff for its time")
+	assert.Less(t, low.Level, 0.9)
+	assert.LessOrEqual(t, low.Again, 1, "no kind is tried again after a try that may have run")
+	if high, ok := p.levels["0/2"]; ok {
+		assert.GreaterOrEqual(t, high.Level, low.Level)
+	}
+	p.gather(25, func() []Note { return tries(0, 10, 0, 0.3, 0, 1, 2, 3, 4, 5) })
+	assert.Equal(t, 1.0, p.levels["0/1"].Level)
+	none := pilot(t, func(terms map[string]any, _ []Entry) { terms["admission"] = "off" })
+	none.gather(8, full)
+	assert.Empty(t, none.levels)
+}
+
+func TestKindsWithTheirOwnMachines(t *testing.T) {
+	p := pilot(t, func(terms map[string]any, _ []Entry) {
+		terms["req_kinds"].([]any)[1].(map[string]any)["only_machines"] = []any{1.0}
+	})
+	require.Len(t, p.bound[0], 2)
+	p.gather(3, nil)
+	assert.Equal(t, 1.0, p.share(p.bound[0][0].Table, 0, 1))
+	assert.Equal(t, 1.0, p.share(p.bound[0][1].Table, 1), "only the open machine")
+}
+
+func TestForesightSpillsBeforeReports(t *testing.T) {
+	p := pilot(t, nil)
+	p.step(Joined{Proxy: 2, Zone: 0, Rate: 200})
+	p.gather(3, func() []Note { return tries(0, 10, 0, 0.7, 0, 1, 2, 3, 4, 5) })
+	assert.Less(t, p.share(0, 0, 1), 0.9, "a zone with most of the demand")
+	assert.Equal(t, 1.0, p.share(1, 2, 3))
+}
+
+func TestChannelStaysShort(t *testing.T) {
+	p := pilot(t, func(terms map[string]any, _ []Entry) { terms["lines_per_s"] = 20.0 })
+	for i := 2; i < 30; i++ {
+		p.step(Joined{Proxy: i, Zone: 0, Rate: 1})
+	}
+	sent := 0
+	for w := range 20 {
+		p.gather(1, func() []Note { return append(tries(0, 5, 0, float64(w%2), 0), tries(0, 5, 0, 0.5, 1, 2, 3)...) })
+		sent += p.sets * 30
+	}
+	assert.Less(t, sent, 1500, "what can wait waits while the channel is full")
+}
+
+func TestOddInput(t *testing.T) {
+	for name, c := range map[string]struct {
+		terms map[string]any
+		notes []Note
+	}{
+		"nothing told":       {map[string]any{}, []Note{Joined{Proxy: 1, Zone: 2}, Alarm{"gather"}, Left{Proxy: 7}}},
+		"no endpoint":        {map[string]any{"req_kinds": []any{map[string]any{}}}, []Note{Joined{}, Alarm{"gather"}, Listing{Mode: Whole}}},
+		"one, weight 0":      {map[string]any{"req_kinds": []any{map[string]any{}}}, []Note{Listing{Mode: Whole, Entries: []Entry{{}}}, Joined{}, Joined{}, Alarm{"gather"}}},
+		"all draining":       {map[string]any{"req_kinds": []any{map[string]any{}}}, []Note{Listing{Entries: []Entry{{Phase: Draining}}}, Joined{}, Alarm{"gather"}}},
+		"unknown endpoint":   {map[string]any{"req_kinds": []any{map[string]any{}}}, []Note{Met{Endpoint: 9, Zone: 3, Tries: 5}, Probed{Endpoint: 4}, Alarm{"gather"}}},
+		"slices":             {map[string]any{"slices": 64.0, "req_kinds": []any{map[string]any{}}}, []Note{Joined{}, SliceCharge{}, SliceLine{}, Alarm{"gather"}}},
+		"list must be asked": {map[string]any{"discovery": "on_request"}, []Note{Listing{Mode: ListFailed}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := &bench{t: t, b: New(3, c.terms), lines: map[int]map[int]float64{}, out: map[int]bool{},
+				levels: map[string]Admit{}, bound: map[int][]Bind{}}
+			p.step(c.notes...)
+			p.now = -5
+			p.gather(3, nil)
+			if c.terms["slices"] != nil {
+				assert.Empty(t, p.bound)
+				assert.Len(t, p.logs, 1)
+			}
+		})
+	}
+}
+
+func TestSameEventsSameOrders(t *testing.T) {
+	run := func() (all []Order) {
+		p := pilot(t, nil)
+		for w := range 15 {
+			p.now += gatherMs
+			all = append(all, p.step(append(tries(w%2, 7, w%4, 0.2*float64(w%6), 0, 1, 2, 3, 4, 5), Alarm{"gather"})...)...)
+		}
+		return all
+	}
+	assert.Equal(t, run(), run())
+}
--- /dev/null
+++ b/internal/simwire/host_test.go
@@ -0,0 +1,54 @@
+package simwire
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+const spawn = `{"kind":"spawn","i":"pilot/0","rng_seed":5,"setup":{"dcs":["a","b"],"kinds":["m"],"instances":1,"zone":"b",` +
+	`"profiles":[{"name":"read","aim":1000000000,"importance":2,"only_kinds":["m"]}],"extra":{"envelope":4}}},` +
+	`{"kind":"discovery","i":"pilot/0","mode":"warm_copy","hosts":[{"endpoint":"x:1","zone":"a","generation_hw":"m","mode":"live","heft":2}]}`
+
+func TestServe(t *testing.T) {
+	for name, c := range map[string]struct{ in, want, fails string }{
+		"empty batch":   {`{"sim_time":5,"batch":3,"happened":[]}`, `{"batch":3,"orders":[]}`, ""},
+		"lays a table":  {`{"sim_time":5,"batch":1,"happened":[` + spawn + `]}`, `"endpoint":"x:1"`, ""},
+		"exact timer":   {`{"sim_time":1000000007,"batch":1,"happened":[` + spawn + `]}`, `"due_at":1500000007`, ""},
+		"binds a proxy": {`{"sim_time":5,"batch":1,"happened":[` + spawn + `,{"kind":"stream_up","i":"pilot/0","edge":4,"zone":"a","heft":1}]}`, `"edge":4`, ""},
+		"killed":        {`{"sim_time":5,"batch":1,"happened":[` + spawn + `,{"kind":"teardown","i":"pilot/0"}]}`, `{"batch":1,"orders":[]}`, ""},
+		"malformed":     {`{"batch":`, "", "line 1: malformed batch"},
+		"unknown event": {`{"batch":1,"happened":[` + spawn + `,{"kind":"fog","i":"pilot/0"}]}`, "", `unknown kind of event "fog"`},
+		"no instance":   {`{"batch":1,"happened":[{"kind":"bell","i":"pilot/9"}]}`, "", `unknown instance "pilot/9"`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var out strings.Builder
+			err := Serve(strings.NewReader(c.in+"\n"), &out)
+			if c.fails != "" {
+				assert.ErrorContains(t, err, c.fails)
+				return
+			}
+			assert.NoError(t, err)
+			assert.Contains(t, out.String(), c.want)
+		})
+	}
+}
+
+func TestTermsAreInOurWords(t *testing.T) {
+	e := event{Instance: "pilot/0", Setup: map[string]any{
+		"kinds": []any{"m", "n"}, "dcs": []any{"a"}, "fresh_key": 3.0,
+		"extra":    map[string]any{"push_delay": 2e6, "admission": "share"},
+		"profiles": []any{map[string]any{"name": "w", "idempotency": "non_idempotent", "aim": 5e6, "only_kinds": []any{"n"}}},
+	}}
+	renamed, _ := rename("", e.Setup).(map[string]any)
+	terms := map[string]any{}
+	flatten(terms, renamed)
+	assert.Equal(t, 2.0, terms["late_mean"])
+	assert.Equal(t, 3.0, terms["fresh_key"])
+	p := start(&e, 0)
+	assert.Equal(t, []any{1.0}, indices(&p.models, []any{"n"}))
+	kind := renamed["req_kinds"].([]any)[0].(map[string]any)
+	assert.Equal(t, "non-replayable", kind["repeats"])
+	assert.Equal(t, 5.0, kind["response_target"])
+}
