Cold share rises with the square of age; levels in coarse steps

It should also catch restarts one by one under overload; it does harm where cold endpoints are all the room there is.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -421,8 +421,8 @@
 	speed, seen := e.speeds.mean()
 	o := offer{Entry: e.Entry, speed: speed, heard: e.b.now-e.heard < staleMs && e.load >= 0}
 	o.load = pick(o.heard, e.load, n.mean)
-	age := (e.b.now - e.Started) / e.b.brief.num("cold", 10000) // a new endpoint gets next to nothing at first
-	o.warmth = pick(e.Started == 0, 1, math.Max(0.01, math.Min(1, age)))
+	age := (e.b.now - e.Started) / e.b.brief.num("cold", 10000) // squared: tries come again when much fails
+	o.warmth = pick(e.Started == 0, 1, math.Max(0.001, math.Min(1, age*math.Abs(age))))
 	if n.step {
 		load := o.load * pick(o.heard, e.hindsight(), 1)
 		e.price = math.Max(0, math.Min(priciest, e.price+theta*e.part()*(load*load-knee*knee)))
@@ -722,7 +722,7 @@
 	case SetLine:
 		c.tables[n.Table].want[n.Endpoint] = n.Weight
 	case Admit:
-		c.tables[n.Table].want[-n.Kinds] = 1 - n.Level
+		c.tables[n.Table].want[-n.Kinds] = math.Round(20*(1-n.Level)) / 20 // few steps, few messages
 	case Withdraw:
 		c.shuts = append(c.shuts, n)
 	case Joined:
