--- a/brain/brain.go
+++ b/brain/brain.go
@@ -546,8 +546,8 @@
 	return costs, own
 }
 
-// foresight prices the home zone so that it keeps the demand that fills it to the target: demand and weights are
-// known seconds before reports. It does harm where proxies' ordinary rates are far off.
+// foresight prices the home zone so that it keeps the demand that fills it to the target: it is known seconds
+// before reports. It does harm where proxies' ordinary rates are far off.
 func (r *region) foresight(mean, part, own float64) float64 {
 	seen := float64(len(r.proxies)) / r.b.brief.num("proxy_count", 1)
 	if seen = math.Min(1, seen); r.b.brief["by_zone"] == true {
@@ -593,12 +593,12 @@
 	listed, cost, cap, x float64
 }
 
-// candidates lists a group's endpoints with share, cost and cap. Caps hold cold ones and trials at a part of their
-// listed share, lower the more fails, as that is tried again. Without a trusted warm one all are in: a bad line
-// is better than none.
+// candidates lists a group's endpoints with share, cost and cap. Caps hold cold ones and trials at a part of
+// their listed share: lower the more fails, as that is tried again, half where the idler of two is picked,
+// and next to nothing across zones. Without a trusted warm one all are in: a bad line is better than none.
 func (r *region) candidates(g *kindGroup) (lines []line, own float64) {
 	costs, own := r.costs(g)
-	sum, trusted := 1e-9, 0.0
+	sum, trusted, cold := 1e-9, 0.0, (1-r.failing)*pick(r.b.brief["pick"] == "two", 0.5, 1)
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
 		o, l := r.offers[i], line{be: i}
 		if g.open(r.zone, o) {
@@ -613,7 +613,7 @@
 	for i := range lines {
 		l, o := &lines[i], r.offers[lines[i].be]
 		if part := o.warmth * pick(trusted > 0, o.trust, 1); l.listed > 0 && part < 1 {
-			l.cap = part * pick(o.warmth < 1, 1-r.failing, 1) * l.listed / sum
+			l.cap = part * pick(o.warmth < 1, cold*pick(o.Zone == r.zone, 1, 0.1), 1) * l.listed / sum
 		}
 		l.listed /= sum
 		l.x = l.listed
@@ -659,8 +659,8 @@
 	}
 }
 
-// level denies reqs while the tables' endpoints are overloaded on the whole: late answers earn little and keep
-// queues full. The kinds with the least payoff for their target, a guess at their work, go first.
+// level denies reqs while the endpoints of the tables are overloaded on the whole: late answers earn little.
+// The kinds with the least payoff for their target, a guess at their work, go first.
 func (r *region) level() {
 	load, sum, before := 0.0, 1e-9, r.shed
 	for _, i := range slices.Sorted(maps.Keys(r.shares)) {
@@ -769,8 +769,8 @@
 	p.last = c.b.now
 }
 
-// push writes a table's differences if there is room; what must go, and first lines, don't wait. Additions come
-// first, so no table runs empty. Tries again stay as proxies make them unasked, safe for every req kind.
+// push writes a table's differences if there is room; what must go, and first lines, don't wait. Additions
+// come first, so no table runs empty. Tries again stay as proxies make them unasked, safe for every req kind.
 func (c *courier) push(i int) {
 	t, zone := c.tables[i], i/len(c.b.groups)
 	var add, remove []int
