--- a/brain/brain.go
+++ b/brain/brain.go
@@ -291,9 +291,9 @@
 }
 
 type view struct {
-	good, bad, rate, lastGood float64 // answers and failures, fading; answers a second
-	out                       bool
-	until, wait, trust        float64
+	good, bad, due, lastGood float64 // answers and failures, fading; answers missed since the last
+	out                      bool
+	until, wait, trust       float64
 }
 
 // histogram counts speeds in bins of half an octave, halved when full.
@@ -338,8 +338,8 @@
 	case Met:
 		v, good := e.view(n.Zone), float64(max(0, n.Tries-n.Failed))
 		v.good, v.bad = v.good+good, v.bad+float64(n.Failed)
-		if v.lastGood = pick(good > 0, e.b.now, v.lastGood); n.SpanMs > 0 {
-			v.rate = (v.rate + good*1000/n.SpanMs) / 2
+		if good > 0 {
+			v.lastGood, v.due = e.b.now, 0
 		}
 		e.report(n.Load)
 	case Probed:
@@ -464,7 +464,9 @@
 	if v.trust < 1 {
 		failing = v.bad >= 2 && ratio > math.Max(0.5, r.failing)
 	}
-	due := math.Min(v.rate, r.rate*r.shares[e.Endpoint]) * (now - v.lastGood - 1500 - r.gap) / 1000
+	flow := r.rate * r.shares[e.Endpoint] / 1000 // due from when a share brings reqs, not from the last answer
+	v.due += flow * gatherMs
+	due := v.due - flow*(1500+r.gap)
 	silent := due >= dueAnswers && now-r.last < 2*gatherMs || e.misses >= 2 && v.lastGood < e.missAt
 	if e.Phase == Ready && (failing || silent) {
 		e.b.say("endpoint %d zone %d: out, good %.1f bad %.1f due %.1f misses %d others fail %.2f",
