--- a/brain/brain.go
+++ b/brain/brain.go
@@ -23,7 +23,7 @@
 	gatherMs   = 1000.0 // the gather window: reports are about this far apart
 	theta      = 0.4    // penalty gain in a gather
 	knee       = 0.75   // T: the load at which a penalty starts to grow
-	priciest   = 2.0    // a penalty above every rank says no more, and a higher one would be slow to come down
+	priciest   = 1.1    // a penalty above every rank says no more, and a higher one would be slow to come down
 	single     = 0.4    // weight of an endpoint's own penalty against its zone's mean: one report is noisy
 	reach      = 1.5    // length of the gradient loop, in units of the own zone's part
 	tolerance  = 0.15   // a line is sent again when it is off by this part
