--- a/brain/brain.go
+++ b/brain/brain.go
@@ -424,7 +424,7 @@
 	age := (e.b.now - e.Started) / e.b.brief.num("cold", 10000) // squared: tries come again when much fails
 	o.warmth = pick(e.Started == 0, 1, math.Max(0.001, math.Min(1, age*math.Abs(age))))
 	if n.step {
-		load := o.load * pick(o.heard, e.hindsight(), 1)
+		load := math.Min(1.5, o.load) * pick(o.heard, e.hindsight(), 1)
 		e.price = math.Max(0, math.Min(priciest, e.price+theta*e.part()*(load*load-knee*knee)))
 		e.b.post(o)
 		every := int(pick(seen < 8, 1, e.b.brief.num("instances", 1)))
