--- a/brain/brain.go
+++ b/brain/brain.go
@@ -22,7 +22,6 @@
 const (
 	gatherMs   = 1000.0 // the gather window: reports are about this far apart
 	theta      = 0.4    // penalty gain in a gather
-	knee       = 0.75   // T: the load at which a penalty starts to grow
 	priciest   = 1.1    // a penalty above every rank says no more, and a higher one would be slow to come down
 	single     = 0.4    // weight of an endpoint's own penalty against its zone's mean: one report is noisy
 	reach      = 1.5    // length of the gradient loop, in units of the own zone's part
@@ -79,18 +78,18 @@
 // Brain is one pilot's decision maker.
 type Brain struct {
 	inbox
-	brief     briefing
-	gathers   int
-	now, mean float64
-	woken     bool
-	bes       []*endpoint
-	regions   []*region
-	actors    []*inbox
-	desk      *courier
-	groups    []kindGroup
-	kinds     []briefing // what was told of each req kind
-	speeds    histogram
-	orders    []Order
+	brief           briefing
+	gathers         int
+	now, mean, knee float64
+	woken           bool
+	bes             []*endpoint
+	regions         []*region
+	actors          []*inbox
+	desk            *courier
+	groups          []kindGroup
+	kinds           []briefing // what was told of each req kind
+	speeds          histogram
+	orders          []Order
 }
 
 type kindGroup struct {
@@ -101,7 +100,10 @@
 
 // New makes a Brain from its seed and the terms received at start.
 func New(seed int64, terms map[string]any) *Brain {
-	b := &Brain{brief: terms, mean: knee / 2}
+	b := &Brain{brief: terms}
+	// T, the load at which a penalty starts to grow: the less crossing zones costs, the sooner it pays.
+	b.knee = math.Min(0.85, 0.5+2*b.brief.num("cross_zone", 0.1))
+	b.mean = b.knee / 2
 	kinds, _ := terms["req_kinds"].([]any)
 	for _, k := range kinds[:min(len(kinds), 31)] {
 		m, _ := k.(map[string]any)
@@ -425,7 +427,7 @@
 	o.warmth = pick(e.Started == 0, 1, math.Max(0.001, math.Min(1, age*math.Abs(age))))
 	if n.step {
 		load := math.Min(1.5, o.load) * pick(o.heard, e.hindsight(), 1)
-		e.price = math.Max(0, math.Min(priciest, e.price+theta*e.part()*(load*load-knee*knee)))
+		e.price = math.Max(0, math.Min(priciest, e.price+theta*e.part()*(load*load-e.b.knee*e.b.knee)))
 		e.b.post(o)
 		every := int(pick(seen < 8, 1, e.b.brief.num("instances", 1)))
 		if e.b.brief["probing"] == true && e.Phase == Ready && (e.b.gathers+e.Endpoint)%max(1, every) == 0 {
@@ -459,7 +461,7 @@
 		return
 	}
 	ratio := v.bad / math.Max(1, v.good+v.bad)
-	busy := e.load > knee && now-e.heard < staleMs // overload is the penalty's business
+	busy := e.load > e.b.knee && now-e.heard < staleMs // overload is the penalty's business
 	failing := v.bad >= 3 && ratio > 0.3+1.5*r.failing && !busy
 	if v.trust < 1 {
 		failing = v.bad >= 2 && ratio > math.Max(0.5, r.failing)
@@ -542,21 +544,17 @@
 	}
 	home := append(zones, -1)[0]
 	own = weights[home] / sum
-	if home == r.zone {
-		costs[home] += r.foresight(load/sum, weights[home]/served, own)
-	}
+	costs[home] += pick(home == r.zone, r.foresight(load/sum, weights[home]/served, own), 0)
 	return costs, own
 }
 
 // foresight prices the home zone so that it keeps the demand that fills it to the target: it is known seconds
 // before reports. It does harm where proxies' ordinary rates are far off.
 func (r *region) foresight(mean, part, own float64) float64 {
-	seen := float64(len(r.proxies)) / r.b.brief.num("proxy_count", 1)
-	if seen = math.Min(1, seen); r.b.brief["by_zone"] == true {
-		seen = 1
-	}
+	seen := math.Min(1, float64(len(r.proxies))/r.b.brief.num("proxy_count", 1))
+	seen = pick(r.b.brief["by_zone"] == true, 1, seen)
 	crowd := seen*r.demand(r.zone)/math.Max(part*r.demand(-1), 1e-9) + 1 - seen
-	stay := math.Max(knee, mean) / math.Max(mean*crowd, 1e-9)
+	stay := math.Max(r.b.knee, mean) / math.Max(mean*crowd, 1e-9)
 	return pick(stay < 1, math.Max(0, 1-(stay-own)/(reach*math.Max(1-own, 0.1))), 0)
 }
 
@@ -669,7 +667,7 @@
 		load += r.shares[i] * math.Min(1, r.offers[i].load)
 		sum += r.shares[i]
 	}
-	if load /= sum; load > full || load > knee && r.failing > 0.2 {
+	if load /= sum; load > full || load > r.b.knee && r.failing > 0.2 {
 		r.shed = math.Min(0.9, r.shed+(1-r.shed)*(shedStep+r.failing/8))
 	} else if load < full-0.05 {
 		r.shed = math.Max(0, 0.8*r.shed-0.01)
