--- a/brain/brain.go
+++ b/brain/brain.go
@@ -36,11 +36,11 @@
 )
 
 // What comes in sets: a clear margin of latency and the cost of a rank; first, longest and growing waits
-// before a trial; the load at which reqs are denied, how fast, and how little of a req kind is ever let in.
+// before a trial; the load at which reqs are denied, how much sooner those of less payoff, how fast, what stays.
 const (
-	rankMargin, rankStep            = 1.3, 0.2
-	firstWait, longWait, waitGrowth = 4000.0, 20000.0, 1.6
-	full, shedStep, leastLevel      = 0.9, 0.06, 0.1
+	rankMargin, rankStep              = 1.3, 0.2
+	firstWait, longWait, waitGrowth   = 4000.0, 20000.0, 1.6
+	full, yield, shedStep, leastLevel = 0.9, 0.08, 0.06, 0.1
 )
 
 type briefing map[string]any
@@ -268,7 +268,7 @@
 func (b *Brain) region(zone int) *region {
 	for len(b.regions) <= zone {
 		r := &region{b: b, zone: len(b.regions), offers: map[int]*offer{}, shares: map[int]float64{},
-			proxies: map[int]Joined{}, asked: map[int]float64{}, latency: map[int]float64{}}
+			proxies: map[int]Joined{}, asked: map[int]float64{}, sheds: map[int]float64{}, latency: map[int]float64{}}
 		r.take = r.read
 		b.regions, b.actors = append(b.regions, r), append(b.actors, &r.inbox)
 		for range b.groups {
@@ -490,7 +490,8 @@
 	latency, asked   map[int]float64 // heard, by zone of the endpoints; reqs by kind, fading
 	good, bad, fresh float64         // tries with and without an answer, fading; answers in this gather
 	rate, failing    float64         // answers a second; part of the tries that fail
-	last, gap, shed  float64         // when a line last came, the span it covers; part to be denied
+	last, gap        float64         // when a line last came, the span it covers
+	sheds            map[int]float64 // part of the reqs to be denied, by group
 }
 
 func (r *region) read(note any) {
@@ -571,20 +572,24 @@
 		r.rate += (r.fresh*1000/gatherMs - r.rate) / 4
 		r.failing = r.bad / math.Max(8, r.good+r.bad)
 		r.fresh, r.good, r.bad = 0, r.good*fade, r.bad*fade
-		r.level()
 	}
 	clear(r.shares)
 	groups := len(r.b.groups)
 	for g := range r.b.groups {
 		lines, own := r.candidates(&r.b.groups[g])
 		share(lines, own)
+		load := 0.0
 		for _, l := range lines {
+			load += l.x * math.Min(1, r.offers[l.be].load)
 			r.shares[l.be] += l.x / float64(groups)
 			line := SetLine{Table: r.zone*groups + g, Endpoint: l.be, Weight: pick(l.x > 0.004, l.x, 0)}
 			r.b.desk.post(line)
 			line.Weight *= r.demand(r.zone) / float64(groups)
 			r.b.bes[l.be].post(line)
 		}
+		if step {
+			r.level(g, load)
+		}
 	}
 }
 
@@ -659,31 +664,29 @@
 	}
 }
 
-// level denies reqs while the endpoints of the tables are overloaded on the whole: late answers earn little.
-// The kinds with the least payoff for their target, a guess at their work, go first.
-func (r *region) level() {
-	load, sum, before := 0.0, 1e-9, r.shed
-	for _, i := range slices.Sorted(maps.Keys(r.shares)) {
-		load += r.shares[i] * math.Min(1, r.offers[i].load)
-		sum += r.shares[i]
+// level denies reqs of a group while the endpoints of its table are overloaded on the whole: late answers earn
+// little. Kinds with the least payoff for their target, a guess at their work, go first, within a group and between.
+func (r *region) level(g int, load float64) {
+	order, mask, before, all := r.b.byPayoff(), r.b.groups[g].mask, r.sheds[g], 1e-9
+	limit := full - pick(mask&(1<<order[len(order)-1]) != 0, 0, yield)
+	if load > limit || load > r.b.knee && r.failing > 0.2 {
+		r.sheds[g] = math.Min(0.9, before+(1-before)*(shedStep+r.failing/8))
+	} else if load < limit-0.05 {
+		r.sheds[g] = math.Max(0, 0.8*before-0.01)
 	}
-	if load /= sum; load > full || load > r.b.knee && r.failing > 0.2 {
-		r.shed = math.Min(0.9, r.shed+(1-r.shed)*(shedStep+r.failing/8))
-	} else if load < full-0.05 {
-		r.shed = math.Max(0, 0.8*r.shed-0.01)
+	if (before == 0) != (r.sheds[g] == 0) {
+		r.b.say("zone %d kinds %b: denying %.2f, load %.2f failing %.2f", r.zone, mask, r.sheds[g], load, r.failing)
 	}
-	if (before == 0) != (r.shed == 0) {
-		r.b.say("zone %d: denying %.2f, load %.2f failing %.2f", r.zone, r.shed, load, r.failing)
+	for _, k := range order {
+		all += pick(mask&(1<<k) != 0, r.asked[k], 0)
 	}
-	all, left := total(r.asked), r.shed
-	for _, k := range r.b.byPayoff() {
-		cut := math.Min(1-leastLevel, left*all/(r.asked[k]+1e-9))
-		left -= cut * r.asked[k] / (all + 1e-9)
-		r.asked[k] *= fade
-		for g, group := range r.b.groups {
-			if group.mask&(1<<k) != 0 {
-				r.b.desk.post(Admit{Table: r.zone*len(r.b.groups) + g, Kinds: 1 << k, Level: 1 - cut})
-			}
+	left := r.sheds[g] * all
+	for _, k := range order {
+		if mask&(1<<k) != 0 {
+			cut := math.Min(1-leastLevel, left/(r.asked[k]+1e-9))
+			left -= cut * r.asked[k]
+			r.asked[k] *= fade
+			r.b.desk.post(Admit{Table: r.zone*len(r.b.groups) + g, Kinds: 1 << k, Level: 1 - cut})
 		}
 	}
 }
