--- a/brain/brain.go
+++ b/brain/brain.go
@@ -36,7 +36,7 @@
 )
 
 // What comes in sets: a clear margin of latency and the cost of a rank; first, longest and growing waits
-// before a trial; the load at which reqs are denied, how much sooner those of less payoff, how fast, what stays.
+// before a trial; the load at which reqs are denied, how much sooner if of less payoff, how fast, what stays.
 const (
 	rankMargin, rankStep              = 1.3, 0.2
 	firstWait, longWait, waitGrowth   = 4000.0, 20000.0, 1.6
@@ -139,7 +139,6 @@
 	return (!g.ownZone || o.Zone == zone) && holds(g.machines, o.Machine) && holds(g.zones, o.Zone)
 }
 
-// holds tells whether a list names an index; an empty list names all.
 func holds(list []any, i int) bool { return len(list) == 0 || slices.Contains(list, any(float64(i))) }
 
 func (b *Brain) say(format string, args ...any) { b.order(Log{fmt.Sprintf(format, args...)}) }
@@ -233,7 +232,6 @@
 	b.tell(solve{step})
 }
 
-// drain empties all inboxes, in a fixed order, until nothing waits.
 func (b *Brain) drain() {
 	for i := 0; i < len(b.actors); i++ {
 		a := b.actors[i]
@@ -415,7 +413,6 @@
 	return math.Max(0.25, math.Min(1, total(e.planned)/e.rate))
 }
 
-// gather steps the penalty and tells every region the terms.
 func (e *endpoint) gather(n gather) {
 	if !e.listed {
 		return
@@ -423,8 +420,8 @@
 	speed, seen := e.speeds.mean()
 	o := offer{Entry: e.Entry, speed: speed, heard: e.b.now-e.heard < staleMs && e.load >= 0}
 	o.load = pick(o.heard, e.load, n.mean)
-	age := (e.b.now - e.Started) / e.b.brief.num("cold", 10000) // squared: tries come again when much fails
-	o.warmth = pick(e.Started == 0, 1, math.Max(0.001, math.Min(1, age*math.Abs(age))))
+	age := (e.b.now - e.Started) / e.b.brief.num("cold", 10000) // bent: tries come again when much fails
+	o.warmth = pick(e.Started == 0, 1, math.Max(0.001, math.Min(1, math.Pow(math.Max(0, age), 1.5))))
 	if n.step {
 		load := math.Min(1.5, o.load) * pick(o.heard, e.hindsight(), 1)
 		e.price = math.Max(0, math.Min(priciest, e.price+theta*e.part()*(load*load-e.b.knee*e.b.knee)))
@@ -603,13 +600,14 @@
 // and next to nothing across zones. Without a trusted warm one all are in: a bad line is better than none.
 func (r *region) candidates(g *kindGroup) (lines []line, own float64) {
 	costs, own := r.costs(g)
-	sum, trusted, cold := 1e-9, 0.0, (1-r.failing)*pick(r.b.brief["pick"] == "two", 0.5, 1)
+	sum, near, trusted := 1e-9, 1e-9, 0.0
+	cold := (1 - r.failing) * pick(r.b.brief["pick"] == "two", 0.5, 1)
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
 		o, l := r.offers[i], line{be: i}
 		if g.open(r.zone, o) {
 			if o.Phase == Ready {
 				l.listed, l.cost, l.cap = o.Weight, costs[o.Zone]+single*o.price, 1
-				sum += o.Weight
+				sum, near = sum+o.Weight, near+pick(o.Zone == r.zone, o.Weight, 0)
 				trusted += pick(o.warmth >= 1, o.trust, 0)
 			}
 		}
@@ -618,7 +616,8 @@
 	for i := range lines {
 		l, o := &lines[i], r.offers[lines[i].be]
 		if part := o.warmth * pick(trusted > 0, o.trust, 1); l.listed > 0 && part < 1 {
-			l.cap = part * pick(o.warmth < 1, cold*pick(o.Zone == r.zone, 1, 0.1), 1) * l.listed / sum
+			room := pick(o.Zone == r.zone, l.listed/near, 0.1*l.listed/sum)
+			l.cap = part * pick(o.warmth < 1, cold*room, l.listed/sum)
 		}
 		l.listed /= sum
 		l.x = l.listed
@@ -664,8 +663,8 @@
 	}
 }
 
-// level denies reqs of a group while the endpoints of its table are overloaded on the whole: late answers earn
-// little. Kinds with the least payoff for their target, a guess at their work, go first, within a group and between.
+// level denies reqs of a group while its endpoints are overloaded on the whole: late answers earn little. Kinds
+// with the least payoff for their target, a guess at their work, go first, within a group and between groups.
 func (r *region) level(g int, load float64) {
 	order, mask, before, all := r.b.byPayoff(), r.b.groups[g].mask, r.sheds[g], 1e-9
 	limit := full - pick(mask&(1<<order[len(order)-1]) != 0, 0, yield)
@@ -701,7 +700,6 @@
 	return order
 }
 
-// courier is the actor that owns the channel: it knows what the proxies hold and what may wait.
 type courier struct {
 	inbox
 	b           *Brain
@@ -817,7 +815,6 @@
 	return c.waiting+cost < c.b.brief.num("backlog", 1000)/3
 }
 
-// write gives an order and books its line for the proxies of a zone (all, below 0).
 func (c *courier) write(o Order, zone int) {
 	c.b.order(o)
 	for _, p := range c.proxies {
