--- a/brain/brain.go
+++ b/brain/brain.go
@@ -420,8 +420,8 @@
 	speed, seen := e.speeds.mean()
 	o := offer{Entry: e.Entry, speed: speed, heard: e.b.now-e.heard < staleMs && e.load >= 0}
 	o.load = pick(o.heard, e.load, n.mean)
-	age := (e.b.now - e.Started) / e.b.brief.num("cold", 10000) // bent: tries come again when much fails
-	o.warmth = pick(e.Started == 0, 1, math.Max(0.001, math.Min(1, math.Pow(math.Max(0, age), 1.5))))
+	age := (e.b.now - e.Started) / e.b.brief.num("cold", 10000) // bent: idle, it is picked at once
+	o.warmth = pick(e.Started == 0, 1, pick(age > 0.25, math.Min(1, math.Pow(math.Max(0, age), 1.5)), 0.001))
 	if n.step {
 		load := math.Min(1.5, o.load) * pick(o.heard, e.hindsight(), 1)
 		e.price = math.Max(0, math.Min(priciest, e.price+theta*e.part()*(load*load-e.b.knee*e.b.knee)))
@@ -663,7 +663,7 @@
 	}
 }
 
-// level denies reqs of a group while its endpoints are overloaded on the whole: late answers earn little. Kinds
+// level denies reqs of a group while its endpoints are overloaded as a whole; late answers earn little. Those
 // with the least payoff for their target, a guess at their work, go first, within a group and between groups.
 func (r *region) level(g int, load float64) {
 	order, mask, before, all := r.b.byPayoff(), r.b.groups[g].mask, r.sheds[g], 1e-9
