--- a/brain/brain.go
+++ b/brain/brain.go
@@ -601,7 +601,7 @@
 func (r *region) candidates(g *kindGroup) (lines []line, own float64) {
 	costs, own := r.costs(g)
 	sum, near, trusted := 1e-9, 1e-9, 0.0
-	cold := (1 - r.failing) * pick(r.b.brief["pick"] == "two", 0.5, 1)
+	cold := math.Max(0, 1-2*r.failing) * pick(r.b.brief["pick"] == "two", 0.5, 1)
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
 		o, l := r.offers[i], line{be: i}
 		if g.open(r.zone, o) {
