--- a/brain/brain.go
+++ b/brain/brain.go
@@ -518,7 +518,7 @@
 
 // costs ranks a group's zones, home first, then by heard latency in steps as wide as the margin, then in the
 // list's order, and adds their mean penalties. Own is the home zone's part of all.
-func (r *region) costs(g *kindGroup) (costs map[int]float64, own float64) {
+func (r *region) costs(g *kindGroup) (costs map[int]float64, own, mean float64) {
 	n, weights, prices := len(r.b.regions), map[int]float64{}, map[int]float64{}
 	load, sum, served := 0.0, 1e-9, 1e-9
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
@@ -543,7 +543,7 @@
 	home := append(zones, -1)[0]
 	own = weights[home] / sum
 	costs[home] += pick(home == r.zone, r.foresight(load/sum, weights[home]/served, own), 0)
-	return costs, own
+	return costs, own, load / sum
 }
 
 // foresight prices the home zone so that it keeps the demand that fills it to the target: it is known seconds
@@ -596,12 +596,15 @@
 }
 
 // candidates lists a group's endpoints with share, cost and cap. Caps hold cold ones and trials at a part of
-// their listed share: lower the more fails, as that is tried again, half where the idler of two is picked,
+// their listed share: lower the more fails, as that is tried again, or is busy where proxies avoid failures,
 // and next to nothing across zones. Without a trusted warm one all are in: a bad line is better than none.
 func (r *region) candidates(g *kindGroup) (lines []line, own float64) {
-	costs, own := r.costs(g)
+	costs, own, load := r.costs(g)
 	sum, near, trusted := 1e-9, 1e-9, 0.0
-	cold := math.Max(0, 1-2*r.failing) * pick(r.b.brief["pick"] == "two", 0.5, 1)
+	cold := 1 - r.failing
+	if r.b.brief.num("ejects_after", 0) > 0 { // proxies that avoid what fails all turn to a cold one in a jam
+		cold = math.Max(0, math.Min(0.5-2*r.failing, 2*(0.95-load)))
+	}
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
 		o, l := r.offers[i], line{be: i}
 		if g.open(r.zone, o) {
@@ -628,14 +631,13 @@
 // share runs the projected-gradient loop from the listed shares.
 func share(lines []line, own float64) {
 	project(lines)
-	const steps = 24
-	for range steps {
+	for range 24 {
 		mean := 0.0
 		for _, l := range lines {
 			mean += l.x * l.cost
 		}
 		for i, l := range lines {
-			lines[i].x -= reach / math.Max(own, 0.1) / steps * l.listed * (l.cost - mean)
+			lines[i].x -= reach / math.Max(own, 0.1) / 24 * l.listed * (l.cost - mean)
 		}
 		project(lines)
 	}
@@ -690,7 +692,6 @@
 	}
 }
 
-// byPayoff lists the req kinds, those with the least payoff for their response target first.
 func (b *Brain) byPayoff() (order []int) {
 	var worth []float64
 	for k, kind := range b.kinds {
@@ -710,7 +711,6 @@
 	waiting, at float64 // lines that may still wait in the channel, by a cautious guess, and when that was
 }
 
-// table holds weights by endpoint and, below 0, what is denied of req kinds, as sent and as wanted.
 type table struct{ sent, want map[int]float64 }
 
 type proxy struct {
