--- a/brain/brain.go
+++ b/brain/brain.go
@@ -608,9 +608,10 @@
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
 		o, l := r.offers[i], line{be: i}
 		if g.open(r.zone, o) {
+			near += pick(o.Zone == r.zone, o.Weight, 0) // lost ones too: the last of a zone is no giant
 			if o.Phase == Ready {
 				l.listed, l.cost, l.cap = o.Weight, costs[o.Zone]+single*o.price, 1
-				sum, near = sum+o.Weight, near+pick(o.Zone == r.zone, o.Weight, 0)
+				sum += o.Weight
 				trusted += pick(o.warmth >= 1, o.trust, 0)
 			}
 		}
