--- a/brain/brain.go
+++ b/brain/brain.go
@@ -601,22 +601,20 @@
 func (r *region) candidates(g *kindGroup) (lines []line, own float64) {
 	costs, own, load := r.costs(g)
 	sum, near, trusted := 1e-9, 1e-9, 0.0
-	cold := 1 - r.failing
-	if r.b.brief.num("ejects_after", 0) > 0 { // proxies that avoid what fails all turn to a cold one in a jam
-		cold = math.Max(0, math.Min(0.5-2*r.failing, 2*(0.85-load)))
+	cold := pick(r.b.gathers < 5, 0, 1-r.failing) // a fresh pilot knows too little
+	if r.b.brief.num("ejects_after", 0) > 0 {     // proxies that avoid what fails turn to a cold one in a jam
+		cold = math.Max(0, math.Min(cold, math.Min(0.5-2*r.failing, 2*(0.85-load))))
 	}
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
 		o, l := r.offers[i], line{be: i}
-		if g.open(r.zone, o) {
-			near += pick(o.Zone == r.zone, o.Weight, 0) // lost ones too: the last of a zone is no giant
-			if o.Phase == Ready {
-				l.listed, l.cost, l.cap = o.Weight, costs[o.Zone]+single*o.price, 1
-				sum += o.Weight
-				trusted += pick(o.warmth >= 1, o.trust, 0)
-			}
+		if g.open(r.zone, o) && o.Phase == Ready {
+			l.listed, l.cost, l.cap = o.Weight, costs[o.Zone]+single*o.price, 1
+			sum, near = sum+o.Weight, near+pick(o.Zone == r.zone, o.Weight, 0)
+			trusted += pick(o.warmth >= 1, o.trust, 0)
 		}
 		lines = append(lines, l)
 	}
+	near = math.Max(near, sum/float64(len(r.b.regions))) // the last of a zone is no giant
 	for i := range lines {
 		l, o := &lines[i], r.offers[lines[i].be]
 		if part := o.warmth * pick(trusted > 0, o.trust, 1); l.listed > 0 && part < 1 {
