--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -200,6 +200,51 @@
 	assert.InDelta(t, 0.5, p.share(0, 0), 0.1, "warm again")
 }
 
+func TestColdEndpointsInTrouble(t *testing.T) {
+	all := []int{0, 1, 2, 3, 4, 5}
+	for name, c := range map[string]struct {
+		ejects float64
+		gone   bool // the other endpoint of its zone is lost
+		fresh  bool // the pilot has just started
+		notes  func() []Note
+		most   float64
+	}{
+		"calm":                           {5, false, false, func() []Note { return tries(0, 20, 0, 0.3, all...) }, 0.2},
+		"much fails: nothing":            {5, false, false, func() []Note { return tries(0, 10, 10, 0.3, all...) }, 0},
+		"busy: nothing":                  {5, false, false, func() []Note { return tries(0, 20, 0, 0.9, all...) }, 0},
+		"no proxy avoids: a little":      {0, false, false, func() []Note { return tries(0, 20, 0, 0.9, all...) }, 0.35},
+		"fresh pilot: nothing":           {5, false, true, func() []Note { return tries(0, 20, 0, 0.3, all...) }, 0},
+		"last of its zone is no giant":   {5, true, false, func() []Note { return tries(0, 20, 0, 0.3, all...) }, 0.2},
+		"no giant where no proxy avoids": {0, true, false, func() []Note { return tries(0, 20, 0, 0.3, all...) }, 0.45},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := pilot(t, func(terms map[string]any, _ []Entry) { terms["ejects_after"] = c.ejects })
+			if !c.fresh {
+				p.gather(8, c.notes)
+			}
+			list := []Entry{{Endpoint: 0, Zone: 0, Weight: 2, Started: p.now - 5000}}
+			if c.gone {
+				list = append(list, Entry{Endpoint: 1, Zone: 0, Weight: 2, Phase: Gone})
+			}
+			p.step(Listing{Mode: Changes, Entries: list})
+			p.gather(2, c.notes)
+			assert.LessOrEqual(t, p.share(0, 0), c.most)
+			assert.Equal(t, c.most > 0, p.share(0, 0) > 0)
+		})
+	}
+}
+
+func TestFreshSpillIsNotSilence(t *testing.T) {
+	p := pilot(t, nil)
+	p.gather(8, func() []Note { return tries(0, 40, 0, 0.3, 0, 1) })
+	p.gather(3, func() []Note { return tries(0, 40, 0, 1.3, 0, 1) })
+	p.gather(3, func() []Note { return append(tries(0, 40, 0, 1.3, 0, 1), tries(0, 10, 0, 0.2, 2, 3)...) })
+	assert.Greater(t, p.share(0, 2, 3), 0.1)
+	for _, l := range p.logs {
+		assert.NotContains(t, l, "endpoint 2 zone 0: out")
+	}
+}
+
 func TestDrainsAndReturns(t *testing.T) {
 	for name, phase := range map[string]Phase{"draining": Draining, "gone": Gone} {
 		t.Run(name, func(t *testing.T) {
