--- a/brain/brain.go
+++ b/brain/brain.go
@@ -603,7 +603,7 @@
 	sum, near, trusted := 1e-9, 1e-9, 0.0
 	cold := pick(r.b.gathers < 5, 0, 1-r.failing) // a fresh pilot knows too little
 	if r.b.brief.num("ejects_after", 0) > 0 {     // proxies that avoid what fails turn to a cold one in a jam
-		cold = math.Max(0, math.Min(cold, math.Min(0.5-2*r.failing, 2*(0.85-load))))
+		cold = math.Max(0, math.Min(cold, math.Min(0.25-r.failing, 0.85-load)))
 	}
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
 		o, l := r.offers[i], line{be: i}
