No endpoint counts as silent while most tries of its zone fail

Kept, as everyone failing is not this one failing; it may do harm where half a zone hangs, which then stays until probes miss or failures tell.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -466,7 +466,8 @@
 	flow := r.rate * r.shares[e.Endpoint] / 1000 // due from when a share brings reqs, not from the last answer
 	v.due += flow * gatherMs
 	due := v.due - flow*(1500+r.gap)
-	silent := due >= dueAnswers && now-r.last < 2*gatherMs || e.misses >= 2 && v.lastGood < e.missAt
+	silent := due >= dueAnswers && r.failing < 0.4 && now-r.last < 2*gatherMs // not when all fail alike
+	silent = silent || e.misses >= 2 && v.lastGood < e.missAt
 	if e.Phase == Ready && (failing || silent) {
 		e.b.say("endpoint %d zone %d: out, good %.1f bad %.1f due %.1f misses %d others fail %.2f",
 			e.Endpoint, r.zone, v.good, v.bad, due, e.misses, r.failing)
