--- a/brain/brain.go
+++ b/brain/brain.go
@@ -52,7 +52,6 @@
 	return fallback
 }
 
-// inbox holds the notes that wait for an actor, and how it takes one: actors live on notes alone.
 type inbox struct {
 	waiting []any
 	take    func(note any)
@@ -196,7 +195,6 @@
 	b.desk.post(n)
 }
 
-// list applies a listing; what a whole list no longer names is gone.
 func (b *Brain) list(l Listing) {
 	if l.Mode == ListFailed {
 		b.order(Watch{On: true})
@@ -557,7 +555,6 @@
 	return pick(stay < 1, math.Max(0, 1-(stay-own)/(reach*math.Max(1-own, 0.1))), 0)
 }
 
-// demand is what the joined proxies of a zone (all, below 0) ordinarily get.
 func (r *region) demand(zone int) (sum float64) {
 	for _, i := range slices.Sorted(maps.Keys(r.proxies)) {
 		sum += pick(zone < 0 || r.proxies[i].Zone == zone, r.proxies[i].Rate, 0)
@@ -774,6 +771,10 @@
 // come first, so no table runs empty. Tries again stay as proxies make them unasked, safe for every req kind.
 func (c *courier) push(i int) {
 	t, zone := c.tables[i], i/len(c.b.groups)
+	used := func(p *proxy) bool { return p.zone == zone }
+	if !slices.ContainsFunc(slices.Collect(maps.Values(c.proxies)), used) {
+		return // a table that nobody uses is not laid
+	}
 	var add, remove []int
 	for _, k := range slices.Sorted(maps.Keys(t.want)) {
 		want, sent := t.want[k], t.sent[k]
@@ -802,7 +803,6 @@
 	}
 }
 
-// room tells whether the channel and the pace of messages to a zone's proxies leave room for what can wait.
 func (c *courier) room(zone, lines int) bool {
 	pace := c.b.brief.num("messages_over", 10000) / c.b.brief.num("messages_most", math.MaxFloat64)
 	cost := 0.0
