--- a/brain/brain.go
+++ b/brain/brain.go
@@ -21,7 +21,7 @@
 
 const (
 	gatherMs   = 1000.0 // the gather window: reports are about this far apart
-	theta      = 0.4    // penalty gain in a gather
+	theta      = 0.25   // penalty gain in a gather
 	priciest   = 1.1    // a penalty above every rank says no more, and a higher one would be slow to come down
 	single     = 0.4    // weight of an endpoint's own penalty against its zone's mean: one report is noisy
 	reach      = 1.5    // length of the gradient loop, in units of the own zone's part
