--- a/brain/brain.go
+++ b/brain/brain.go
@@ -26,7 +26,7 @@
 	single     = 0.4    // weight of an endpoint's own penalty against its zone's mean: one report is noisy
 	reach      = 1.5    // length of the gradient loop, in units of the own zone's part
 	tolerance  = 0.15   // a line is sent again when it is off by this part
-	calm       = 0.5    // weight of a new load report against the earlier ones
+	calm       = 0.7    // weight of a new load report against the earlier ones
 	staleMs    = 5000.0 // a load report older than this counts as unheard
 	lagGathers = 3      // gathers until a report shows what a table changed
 	trialPart  = 0.06   // share of its normal weight that an endpoint on trial gets
