--- a/brain/brain.go
+++ b/brain/brain.go
@@ -26,7 +26,7 @@
 	priciest   = 1.1     // a penalty above every rank says no more, and a higher one would be slow to come down
 	single     = 0.4     // weight of an endpoint's own penalty against its zone's mean: one report is noisy
 	reach      = 1.5     // length of the gradient loop, in units of the own zone's part
-	tolerance  = 0.15    // a line is sent again when it is off by this part
+	tolerance  = 0.25    // a line is sent again when it is off by this part
 	calm       = 0.7     // weight of a new load report against the earlier ones
 	staleMs    = 5000.0  // a load report older than this counts as unheard
 	lagGathers = 3       // gathers until a report shows what a table changed
@@ -34,6 +34,8 @@
 	enoughReqs = 20.0    // reqs that tell as much of a zone's demand as its proxies' ordinary rates
 	leastPart  = 0.05    // a line below this part of its listed share is not worth sending
 	fade       = 0.6     // what a gather leaves of the counts before it
+	lineFade   = 0.97    // what a line of demand leaves of those before it
+	fewReports = 24      // speeds that a histogram holds of an endpoint before it is halved
 	markNames  = 65535   // marks are numbered below this, by their time
 	lastingMs  = 30000.0 // how long a proxy without a stream may hold what is gone
 	bindMs     = 100.0   // how often it is seen whether the channel has room for more binds
@@ -52,10 +54,8 @@
 type briefing map[string]any
 
 func (t briefing) num(name string, fallback float64) float64 {
-	if v, ok := t[name].(float64); ok && v > 0 && !math.IsInf(v, 0) {
-		return v
-	}
-	return fallback
+	v, _ := t[name].(float64)
+	return pick(v > 0 && !math.IsInf(v, 0), v, fallback)
 }
 
 type inbox struct {
@@ -65,38 +65,34 @@
 
 func (i *inbox) post(note any) { i.waiting = append(i.waiting, note) }
 
-type gather struct {
-	step        bool
-	mean, speed float64 // of all loads, and of the speeds in the endpoint's class
-}
+type gather struct{ step bool }
 
 type offer struct {
 	Entry
 	price, trust, load, warmth float64
 }
 
-// alike endpoints are a zone's machines of one type: they share what drives their loads.
-func (o *offer) alike() [2]int { return [2]int{o.Zone, o.Machine} }
-
 type flush struct{}
 
 // Brain is one pilot's decision maker.
 type Brain struct {
 	inbox
-	brief       briefing
-	gathers     int
-	now, knee   float64
-	woken       bool
-	bes         []*endpoint
-	regions     []*region
-	actors      []*inbox
-	desk        *courier
-	groups      []kindGroup
-	kinds       []briefing // what was told of each req kind
-	proxies     map[int]Joined
-	seen, usual map[int]float64 // reqs that came by zone of the proxies, and would have ordinarily, fading
-	demand      map[int]float64 // reqs a second by zone of the proxies, and at -1 of all
-	orders      []Order
+	brief           briefing
+	gathers         int
+	now, knee, mean float64 // mean: of the loads heard
+	speeds          histogram
+	woken           bool
+	bes             []*endpoint
+	regions         []*region
+	actors          []*inbox
+	desk            *courier
+	groups          []kindGroup
+	kinds           []briefing // what was told of each req kind
+	proxies         map[int]Joined
+	seen, usual     map[int]float64 // reqs that came by zone of the proxies, and would have ordinarily, fading
+	asked           map[int]float64 // reqs by kind, fading
+	demand          map[int]float64 // reqs a second by zone of the proxies, and at -1 of all
+	orders          []Order
 }
 
 type kindGroup struct {
@@ -108,15 +104,15 @@
 // New makes a Brain from its seed and the terms received at start.
 func New(seed int64, terms map[string]any) *Brain {
 	b := &Brain{brief: terms, proxies: map[int]Joined{}, demand: map[int]float64{}, seen: map[int]float64{},
-		usual: map[int]float64{}}
+		usual: map[int]float64{}, asked: map[int]float64{}}
 	// T, the load at which a penalty starts to grow: the less crossing zones costs, the sooner it pays.
 	b.knee = math.Min(0.85, 0.5+2*b.brief.num("cross_zone", 0.1))
 	kinds, _ := terms["req_kinds"].([]any)
 	for _, k := range kinds[:min(len(kinds), 31)] {
-		m, _ := k.(map[string]any)
-		b.kinds = append(b.kinds, m)
+		kind, _ := k.(map[string]any)
+		b.kinds = append(b.kinds, kind)
 	}
-	if b.brief.num("slices", 0) == 0 { // else there is nothing to lay tables for
+	if b.brief.num("slices", 0) == 0 { // sites with slices are not planned: stored owners stay
 		b.groupKinds()
 	}
 	b.desk = &courier{b: b, proxies: map[int]*proxy{}, out: map[int]float64{}, marks: map[int]float64{}}
@@ -125,7 +121,6 @@
 	return b
 }
 
-// groupKinds puts req kinds with the same open endpoints together.
 func (b *Brain) groupKinds() {
 	own, _ := b.brief["kind_own_zone"].([]any)
 	for i, kind := range b.kinds {
@@ -140,6 +135,16 @@
 	}
 }
 
+// work is a group's part of all work: its reqs, times their response targets for want of a better guess.
+func (b *Brain) work(g int) float64 {
+	own, all := 0.0, 1e-9
+	for k, kind := range b.kinds {
+		w := (b.asked[k] + enoughReqs) * kind.num("response_target", 1000)
+		own, all = own+pick(b.groups[g].mask&(1<<k) != 0, w, 0), all+w
+	}
+	return own / all
+}
+
 func (g *kindGroup) open(zone int, o *offer) bool {
 	return (!g.ownZone || o.Zone == zone) && holds(g.machines, o.Machine) && holds(g.zones, o.Zone)
 }
@@ -156,9 +161,6 @@
 	if !b.woken { // each pilot gathers at its own point of the window
 		b.woken = true
 		b.order(WakeAt{b.now + gatherMs*(1+b.brief.num("rank", 0)/b.brief.num("instances", 1))/2, "gather"})
-		if b.brief.num("slices", 0) > 0 {
-			b.say("slices are not planned: stored owners stay")
-		}
 		if b.brief["discovery"] == "on_request" {
 			b.order(Watch{On: true})
 		}
@@ -222,24 +224,14 @@
 		rate := b.proxies[i].Rate * (b.seen[z] + enoughReqs) / (b.usual[z] + enoughReqs)
 		b.demand[z], b.demand[-1] = b.demand[z]+rate, b.demand[-1]+rate
 	}
-	var speeds histogram
-	n := gather{step: step, mean: b.knee / 2}
-	for _, be := range b.bes {
-		if speed, _ := be.speeds.mean(); speed > 0 && be.listed {
-			speeds.add(speed)
-		}
-		n.mean += pick(be.heard > b.now-staleMs, be.load-n.mean, 0) / float64(len(b.bes)+1)
-	}
-	n.speed, _ = speeds.mean()
+	b.mean = b.knee / 2
 	for _, be := range b.bes {
-		be.post(n)
+		b.mean += pick(be.heard > b.now-staleMs, be.load-b.mean, 0) / float64(len(b.bes)+1)
+		be.post(gather{step})
 	}
 	b.drain()
 	for _, r := range b.regions {
-		r.post(n)
-	}
-	for z := range b.seen {
-		b.seen[z], b.usual[z] = b.seen[z]*pick(step, fade, 1), b.usual[z]*pick(step, fade, 1)
+		r.post(gather{step})
 	}
 }
 
@@ -266,8 +258,9 @@
 		delete(b.proxies, n.Proxy)
 	case Demand:
 		p := b.proxies[n.Proxy]
-		b.seen[p.Zone] += float64(n.Reqs)
-		b.usual[p.Zone] += p.Rate * n.SpanMs / 1000 / float64(len(b.kinds))
+		b.seen[p.Zone] = lineFade*b.seen[p.Zone] + float64(n.Reqs)
+		b.asked[n.Kind] = lineFade*b.asked[n.Kind] + float64(n.Reqs)
+		b.usual[p.Zone] = lineFade*b.usual[p.Zone] + p.Rate*n.SpanMs/1000/float64(len(b.kinds))
 	}
 }
 
@@ -301,7 +294,7 @@
 	b           *Brain
 	listed      bool
 	load, heard float64 // of the last reports: load (below 0: none), and when
-	price       float64 // the penalty lambda
+	price, plan float64 // the penalty lambda; the sum of what is planned
 	speeds      histogram
 	views       map[int]*view
 	planned     map[int]float64         // reqs a second that each table shall bring
@@ -317,9 +310,9 @@
 // histogram counts in bins of half an octave, halved when full.
 type histogram struct{ bins [24]float64 }
 
-func (h *histogram) add(v float64) {
+func (h *histogram) add(v, most float64) {
 	h.bins[max(0, min(len(h.bins)-1, int(math.Round(8+2*math.Log2(math.Max(v, 1e-9))))))]++
-	if _, total := h.mean(); total > 24 {
+	if _, total := h.mean(); total > most {
 		for i := range h.bins {
 			h.bins[i] /= 2
 		}
@@ -360,7 +353,7 @@
 	case Probed:
 		e.report(n.Load)
 	case SetLine:
-		e.planned[n.Table] = n.Weight
+		e.plan, e.planned[n.Table] = e.plan+n.Weight-e.planned[n.Table], n.Weight
 	case gather:
 		e.gather(n)
 	}
@@ -377,12 +370,12 @@
 	e.Entry, e.listed = n, true
 }
 
-// report takes the mean of the last few load reports: one jumps by half. Without util the load is that of the
-// single queue which would be as long as the reported one.
+// report averages load reports; without util the load is that of the single queue that would be as long.
 func (e *endpoint) report(l Load) {
 	load, ok := l["util"]
 	if rate := l["rate"]; ok && load > 0.15 && rate > 0 {
-		e.speeds.add(rate / load / math.Max(e.Weight, 1e-3))
+		e.speeds.add(rate/load/math.Max(e.Weight, 1e-3), fewReports)
+		e.b.speeds.add(rate/load/math.Max(e.Weight, 1e-3), fewReports*float64(len(e.b.bes)))
 	}
 	for _, field := range []string{"waiting", "in_hand"} {
 		if q, has := l[field]; has && !ok {
@@ -398,18 +391,15 @@
 
 // hindsight scales a load report by what the tables changed since: else the penalty acts again and swings.
 func (e *endpoint) hindsight() float64 {
-	own, then := 0.0, e.plans[lagGathers]
-	for i := range e.b.desk.tables {
-		own += e.planned[i]
-	}
+	then := e.plans[lagGathers]
 	copy(e.plans[1:], e.plans[:])
-	e.plans[0] = own
-	return pick(then > 0, 1+e.b.part()*(math.Max(0.25, math.Min(4, own/math.Max(then, 1e-9)))-1), 1)
+	e.plans[0] = e.plan
+	return pick(then > 0, 1+e.b.part()*(math.Max(0.25, math.Min(4, e.plan/math.Max(then, 1e-9)))-1), 1)
 }
 
-// part is this pilot's part of the demand on its zones' endpoints, by its proxies.
 func (b *Brain) part() float64 {
-	return pick(b.brief["by_zone"] == true, 1, math.Min(1, float64(len(b.proxies))/b.brief.num("proxy_count", 1)))
+	part := math.Min(1, float64(len(b.proxies))/b.brief.num("proxy_count", 1))
+	return pick(b.brief["by_zone"] == true, 1, part)
 }
 
 func (e *endpoint) gather(n gather) {
@@ -418,7 +408,7 @@
 	}
 	speed, seen := e.speeds.mean()
 	heard := e.b.now-e.heard < staleMs && e.load >= 0
-	o := offer{Entry: e.Entry, load: pick(heard, e.load, math.Min(n.mean, e.b.knee))} // at most full
+	o := offer{Entry: e.Entry, load: pick(heard, e.load, math.Min(e.b.mean, e.b.knee))} // at most full
 	age, from := (e.b.now-e.Started)/e.b.brief.num("cold", 10000), e.b.brief.num("cold_from", 0.1)
 	o.warmth = pick(e.Started == 0, 1, math.Min(1, from+(1-from)*math.Max(0, age)))
 	if n.step {
@@ -430,8 +420,8 @@
 		}
 	}
 	o.price, o.Weight = e.price, pick(e.Weight > 0, e.Weight, 1)
-	if speed > 0 && n.speed > 0 {
-		o.Weight *= math.Pow(math.Max(0.4, math.Min(2.5, speed/n.speed)), seen/(seen+2))
+	if usual, _ := e.b.speeds.mean(); speed > 0 { // shrunk while few reports are in
+		o.Weight *= math.Pow(math.Max(0.4, math.Min(2.5, speed/usual)), seen/(seen+2))
 	}
 	for _, r := range e.b.regions {
 		v := e.view(r.zone)
@@ -476,13 +466,13 @@
 	good, bad float64         // tries with and without an answer, fading
 	failing   float64         // part of the tries that fail
 	sheds     map[int]float64 // part of the reqs to be denied, by group
+	wide      []float64       // weight of the endpoints open to each group
 }
 
 func (r *region) read(note any) {
 	switch n := note.(type) {
 	case Met:
-		good := float64(n.Tries - n.Failed)
-		r.good, r.bad = r.good+good, r.bad+float64(n.Failed)
+		r.good, r.bad = r.good+float64(n.Tries-n.Failed), r.bad+float64(n.Failed)
 		if o := r.offers[n.Endpoint]; o != nil && n.MeanMs > 0 {
 			old := r.latency[o.Zone]
 			r.latency[o.Zone] += (n.MeanMs - old) * pick(old > 0, 0.125, 1)
@@ -494,17 +484,26 @@
 	}
 }
 
-// costs ranks a group's zones, home first, then by heard latency in steps as wide as the margin, then in the
-// list's order, and adds their mean penalties. Own is the home zone's part of all.
-func (r *region) costs(g *kindGroup) (costs map[[2]int]float64, own, mean float64) {
-	n, weights, alikes, prices := len(r.b.regions), map[int]float64{}, map[[2]int]float64{}, map[[2]int]float64{}
+// weight is what an endpoint has left for a group when req kinds open to fewer endpoints have had theirs.
+func (r *region) weight(g int, o *offer) float64 {
+	left := 1.0
+	for h := range r.b.groups {
+		if r.wide[h] < 0.99*r.wide[g] && r.b.groups[h].open(r.zone, o) {
+			left -= r.b.work(h) * r.wide[g] / math.Max(r.wide[h], 1e-9)
+		}
+	}
+	return o.Weight * math.Max(left, 0.05)
+}
+
+// costs ranks zones, home first, then by heard latency in steps of the margin, and adds their mean penalties.
+func (r *region) costs(g int) (costs map[int]float64, own, mean float64) {
+	n, weights, costs := len(r.b.regions), map[int]float64{}, map[int]float64{}
 	load, sum, served := 0.0, 1e-9, 1e-9
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
-		if o := r.offers[i]; g.open(r.zone, o) {
-			w := o.Weight * pick(o.Phase == Ready, math.Max(0.01, o.trust*o.warmth), 0.01)
+		if o := r.offers[i]; r.b.groups[g].open(r.zone, o) {
+			w := r.weight(g, o) * pick(o.Phase == Ready, math.Max(0.01, o.trust*o.warmth), 0.01)
 			weights[o.Zone] += w
-			alikes[o.alike()] += w
-			prices[o.alike()] += w * o.price
+			costs[o.Zone] += (1 - single) * w * o.price
 			load, sum = load+w*o.load, sum+w
 			served += pick(r.b.brief["by_zone"] != true || r.b.demand[o.Zone] > 0, w, 0)
 		}
@@ -516,18 +515,19 @@
 	zones := slices.Sorted(maps.Keys(weights))
 	sort.Slice(zones, func(i, j int) bool { return key(zones[i]) < key(zones[j]) })
 	home := append(zones, -1)[0]
-	own = weights[home] / sum
+	own = pick(weights[home] > 0.03*sum, weights[home]/sum, 1) // a lost home draws nothing to it
 	ahead := pick(home == r.zone, r.foresight(load/sum, weights[home]/served, own), 0)
-	costs = map[[2]int]float64{}
-	for a, w := range alikes {
-		i := slices.Index(zones, a[0])
-		costs[a] = pick(i == 0, ahead, 1+rankStep*float64(i-1)) + (1-single)*prices[a]/w
+	for i, z := range zones {
+		costs[z] = costs[z]/weights[z] + pick(z == r.zone, ahead, 1+rankStep*float64(i-1))
 	}
 	return costs, own, load / sum
 }
 
 // foresight prices the home zone so that it keeps the demand that fills it to the target, ahead of reports.
 func (r *region) foresight(mean, part, own float64) float64 {
+	if fields, _ := r.b.brief["fields"].([]any); !slices.Contains(fields, any("util")) {
+		mean = math.Max(mean, r.b.knee) // a short queue doesn't tell how full it is
+	}
 	seen := r.b.part()
 	crowd := seen*r.b.demand[r.zone]/math.Max(part*r.b.demand[-1], 1e-9) + 1 - seen
 	stay := math.Max(r.b.knee, mean) / math.Max(mean*crowd, 1e-9)
@@ -540,8 +540,15 @@
 		r.good, r.bad = r.good*fade, r.bad*fade
 	}
 	groups := len(r.b.groups)
+	r.wide = make([]float64, groups)
+	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
+		for g, group := range r.b.groups {
+			o := r.offers[i]
+			r.wide[g] += pick(o.Phase == Ready && group.open(r.zone, o), o.Weight, 0)
+		}
+	}
 	for g := range r.b.groups {
-		lines, own := r.candidates(&r.b.groups[g])
+		lines, own := r.candidates(g)
 		share(lines, own)
 		load, unit, demand := 0.0, 1e-9, r.b.demand[r.zone]/float64(groups)
 		for _, l := range lines { // the fullest line stands still, so that spill alone moves few others
@@ -566,16 +573,17 @@
 
 // candidates lists a group's endpoints with share, cost and cap. Caps hold cold ones and trials at a part of
 // their listed share, little across zones. Without a trusted warm one all are in: a bad line beats none.
-func (r *region) candidates(g *kindGroup) (lines []line, own float64) {
+func (r *region) candidates(g int) (lines []line, own float64) {
 	costs, own, load := r.costs(g)
 	sum, near, chill, trusted := 1e-9, 1e-9, 1e-9, 0.0
 	cold, bend := pick(r.b.gathers < 5, 0, 1-r.failing), 1.0 // a fresh pilot knows too little
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
 		o, l := r.offers[i], line{be: i}
-		if g.open(r.zone, o) && o.Phase == Ready {
-			l.listed, l.cost, l.cap = o.Weight, costs[o.alike()]+single*o.price, 1
-			sum, near = sum+o.Weight, near+pick(o.Zone == r.zone, o.Weight, 0)
-			chill += pick(o.Zone == r.zone && o.warmth < 1, o.Weight*o.warmth, 0)
+		if r.b.groups[g].open(r.zone, o) && o.Phase == Ready {
+			w := r.weight(g, o)
+			l.listed, l.cost, l.cap = w, costs[o.Zone]+single*o.price, 1
+			sum, near = sum+w, near+pick(o.Zone == r.zone, w, 0)
+			chill += pick(o.Zone == r.zone && o.warmth < 1, w*o.warmth, 0)
 			trusted += pick(o.warmth >= 1, o.trust, 0)
 		}
 		lines = append(lines, l)
@@ -635,7 +643,7 @@
 	if load > full || load > r.b.knee && r.failing > 0.2 {
 		r.sheds[g] = math.Min(0.9, before+(1-before)*(shedStep+r.failing/8))
 	} else if load < full-0.05 {
-		r.sheds[g] = math.Max(0, 0.8*before-0.01)
+		r.sheds[g] = math.Max(0, 0.92*before-0.005)
 	}
 	if (before == 0) != (r.sheds[g] == 0) {
 		r.b.say("zone %d kinds %b: denying %.2f, load %.2f failing %.2f", r.zone, mask, r.sheds[g], load, r.failing)
@@ -663,16 +671,14 @@
 
 type courier struct {
 	inbox
-	b           *Brain
-	tables      []*table // by number: the zone's times the groups, and the group's
-	proxies     map[int]*proxy
-	out         map[int]float64 // endpoints that drain or are gone, and since when
-	waiting, at float64         // lines that may still wait in the channel, cautiously, and when that was
-	woken       float64         // when it is woken next to go on binding
-	newcomers   bool            // proxies joined since it was last said again what is out
-	reminded    float64         // when that was
-	written     float64         // lines so far
-	marks       map[int]float64 // lines written before each mark
+	b                        *Brain
+	tables                   []*table // by number: the zone's times the groups, and the group's
+	proxies                  map[int]*proxy
+	out                      map[int]float64 // endpoints that drain or are gone, and since when
+	waiting, at              float64         // lines that may still wait in the channel, and when that was
+	newcomers                bool            // since it was last said again what is out
+	reminded, woken, written float64         // when that was; when binding goes on; lines so far
+	marks                    map[int]float64 // lines written before each mark
 }
 
 type table struct {
@@ -716,9 +722,8 @@
 
 // flush writes differences, drains first, then bindings.
 func (c *courier) flush() {
-	c.waiting = math.Max(0, c.waiting-(c.b.now-c.at)*c.b.brief.num("lines_per_s", 1000)/2000)
-	c.at = c.b.now
-	before := c.written
+	pace, before := c.b.brief.num("lines_per_s", 1000)/1000, c.written
+	c.waiting, c.at = math.Max(0, c.waiting-(c.b.now-c.at)*pace/2), c.b.now
 	for i := range c.tables {
 		c.push(i)
 	}
@@ -773,8 +778,8 @@
 	c.spend(pick(said > 0, unbound*(c.b.brief.num("head_lines", 4)+1+said), 0))
 }
 
-// push writes a table's differences, the largest first, as many as there is room for. What must go doesn't
-// wait, nor what replaces it while less than half a table stands. A table that nobody uses is not laid.
+// push writes a used table's differences, the largest first, while there is room. What must go doesn't wait,
+// nor what replaces it while less than half a table stands.
 func (c *courier) push(i int) {
 	t, zone := c.tables[i], i/len(c.b.groups)
 	users, joined := 0.0, false
@@ -812,12 +817,8 @@
 		kept += pick(c.gone(k), 0, t.want[k]-t.sent[k])
 		t.sent[k], written = t.want[k], written+1
 		c.b.order(SetLine{Table: i, Endpoint: k, Weight: t.sent[k]})
-		if t.sent[k] == 0 {
-			delete(t.sent, k)
-		}
-	}
-	if written > 0 {
-		t.pushed = c.b.now
-		c.spend(users * (written + head))
 	}
+	maps.DeleteFunc(t.sent, func(_ int, weight float64) bool { return weight == 0 })
+	t.pushed = pick(written > 0, c.b.now, t.pushed)
+	c.spend(pick(written > 0, users*(written+head), 0))
 }
