--- a/brain/brain.go
+++ b/brain/brain.go
@@ -26,7 +26,6 @@
 	priciest   = 1.1     // a penalty above every rank says no more, and a higher one would be slow to come down
 	single     = 0.4     // weight of an endpoint's own penalty against its zone's mean: one report is noisy
 	reach      = 1.5     // length of the gradient loop, in units of the own zone's part
-	tolerance  = 0.25    // a line is sent again when it is off by this part
 	calm       = 0.7     // weight of a new load report against the earlier ones
 	staleMs    = 5000.0  // a load report older than this counts as unheard
 	lagGathers = 3       // gathers until a report shows what a table changed
@@ -42,13 +41,14 @@
 	longQueue  = 10.0    // a queue that counts as much as a whole load on top of a full one
 )
 
-// In sets: a clear margin of latency and the cost of a rank; first, longest and growing waits for a
-// trial; load at which reqs are denied, how fast, what stays; failures and load at which to try again.
+// In sets: margin of latency and cost of a rank; waits for a trial; load that denies reqs, how fast, what stays;
+// failures and load to try again at; gap that is sent again, and more where a table takes the channel a second.
 const (
 	rankMargin, rankStep            = 1.3, 0.2
 	firstWait, longWait, waitGrowth = 4000.0, 20000.0, 1.6
 	full, shedStep, leastLevel      = 0.9, 0.06, 0.1
 	fewFail, roomy                  = 0.02, 0.7
+	tolerance, thrift               = 0.12, 0.15
 )
 
 type briefing map[string]any
@@ -116,8 +116,7 @@
 		b.groupKinds()
 	}
 	b.desk = &courier{b: b, proxies: map[int]*proxy{}, out: map[int]float64{}, marks: map[int]float64{}}
-	b.take, b.desk.take = b.book, b.desk.read
-	b.actors = []*inbox{&b.inbox, &b.desk.inbox}
+	b.take, b.desk.take, b.actors = b.book, b.desk.read, []*inbox{&b.inbox, &b.desk.inbox}
 	return b
 }
 
@@ -800,11 +799,12 @@
 			c.b.order(t.levels[k])
 		}
 	}
+	off := tolerance + thrift*math.Min(1, users*float64(len(t.want))/c.b.brief.num("lines_per_s", 1000))
 	gaps, kept, full := map[int]float64{}, 0.0, 0.0
 	for _, k := range slices.Sorted(maps.Keys(t.want)) {
 		want, sent := t.want[k], t.sent[k]
 		kept, full = kept+pick(c.gone(k), 0, sent), full+want
-		if gap := math.Abs(sent - want); gap > tolerance*math.Max(sent, want) {
+		if gap := math.Abs(sent - want); gap > off*math.Max(sent, want) {
 			gaps[k] = pick(c.gone(k), math.MaxFloat64, gap)
 		}
 	}
