--- a/brain/brain.go
+++ b/brain/brain.go
@@ -746,7 +746,7 @@
 		for g := range c.b.groups {
 			cost += float64(len(c.tables[first+g].sent) + 1)
 		}
-		if c.waiting > 0 && c.waiting+cost > c.b.brief.num("backlog", 1000)/2 {
+		if c.waiting > 0 && c.waiting+cost > 0.4*c.b.brief.num("backlog", 1000) {
 			if c.woken <= c.b.now {
 				c.woken = c.b.now + bindMs
 				c.b.order(WakeAt{c.woken, "bind"})
