--- a/brain/brain.go
+++ b/brain/brain.go
@@ -588,7 +588,7 @@
 		lines = append(lines, l)
 	}
 	near = math.Max(near, sum/float64(len(r.b.regions))) // the last of a zone is no giant
-	if r.b.brief.num("ejects_after", 0) > 0 && load*near/chill > 0.5*r.b.brief.num("fall_multiple", 1) {
+	if r.b.brief.num("ejects_after", 0) > 0 && load*near/chill > 0.8*r.b.brief.num("fall_multiple", 1) {
 		cold, bend = math.Max(0, math.Min(cold, math.Min(0.25-r.failing, 0.85-load))), 3
 	}
 	for i := range lines {
