--- a/brain/brain.go
+++ b/brain/brain.go
@@ -5,10 +5,10 @@
 // regions (the proxies of a zone) and the courier (the channel) are actors with inboxes. Mechanisms beside
 // the design:
 //  1. speed:     listed weights corrected by the speed that load reports show
-//  2. health:    an endpoint that fails or falls silent for a zone's proxies leaves and returns by trial
-//  3. foresight: demand known to overfill a zone prices its endpoints before reports show it
-//  4. levels:    under overload the req kinds with the least payoff for their time are let in less
-//  5. thrift:    a model of the channel defers what can wait
+//  2. health:    an endpoint that fails or goes mute for a zone's proxies leaves and returns by trial
+//  3. foresight: demand that overfills a zone, or machines others need, counts before reports show it
+//  4. levels:    req kinds of the least payoff for their time are let in less, some are tried again
+//  5. thrift:    a model of the channel, kept true by marks, defers what can wait
 //  6. hindsight: load reports are brought up to date with the tables sent since they were made
 
 import (
@@ -74,7 +74,6 @@
 
 type flush struct{}
 
-// Brain is one pilot's decision maker.
 type Brain struct {
 	inbox
 	brief           briefing
@@ -280,8 +279,8 @@
 		r.take = r.read
 		b.regions, b.actors = append(b.regions, r), append(b.actors, &r.inbox)
 		for range b.groups {
-			b.desk.tables = append(b.desk.tables, &table{sent: map[int]float64{},
-				want: map[int]float64{}, told: map[int]Admit{}, levels: map[int]Admit{}, pushed: -1e9})
+			b.desk.tables = append(b.desk.tables, &table{number: len(b.desk.tables), pushed: -1e9,
+				sent: map[int]float64{}, want: map[int]float64{}, told: map[int]Admit{}, levels: map[int]Admit{}})
 		}
 	}
 	return b.regions[zone]
@@ -407,7 +406,7 @@
 	}
 	speed, seen := e.speeds.mean()
 	heard := e.b.now-e.heard < staleMs && e.load >= 0
-	o := offer{Entry: e.Entry, load: pick(heard, e.load, math.Min(e.b.mean, e.b.knee))} // at most full
+	o := offer{Entry: e.Entry, load: pick(heard, e.load, e.b.mean)}
 	age, from := (e.b.now-e.Started)/e.b.brief.num("cold", 10000), e.b.brief.num("cold_from", 0.1)
 	o.warmth = pick(e.Started == 0, 1, math.Min(1, from+(1-from)*math.Max(0, age)))
 	if n.step {
@@ -435,21 +434,20 @@
 // judge weighs what a zone's proxies show: too many failures against the others', or failures alone and no
 // report. It should catch a hang, a loss or a cut alike; harm where overload shows no report ends by trial.
 func (e *endpoint) judge(r *region, v *view) {
-	now := e.b.now
 	if v.out {
-		if now >= v.until {
+		if e.b.now >= v.until {
 			*v = view{trust: trialPart, wait: v.wait}
 			e.b.say("endpoint %d zone %d: trial", e.Endpoint, r.zone)
 		}
 		return
 	}
-	busy := e.load > e.b.knee && now-e.heard < staleMs // overload is the penalty's business
-	mute := v.good < 0.5 && now-e.heard > 3*gatherMs   // gone quiet altogether, if need be with its whole zone
+	busy := e.load > e.b.knee && e.b.now-e.heard < staleMs // overload is the penalty's business
+	mute := v.good < 0.5 && e.b.now-e.heard > 3*gatherMs   // gone quiet, maybe with its whole zone
 	failing := v.bad >= 3 && (v.bad > (0.3+1.5*r.failing)*(v.good+v.bad) && !busy || mute)
 	if e.Phase == Ready && failing {
 		e.b.say("endpoint %d zone %d: out, good %.1f bad %.1f all %.2f", e.Endpoint, r.zone,
 			v.good, v.bad, r.failing)
-		v.out, v.until, v.wait = true, now+v.wait, math.Min(longWait, v.wait*waitGrowth)
+		v.out, v.until, v.wait = true, e.b.now+v.wait, math.Min(longWait, v.wait*waitGrowth)
 	} else if v.trust < 1 && v.good >= 0.3 {
 		v.trust = math.Min(1, v.trust*2)
 	}
@@ -515,8 +513,8 @@
 	sort.Slice(zones, func(i, j int) bool { return key(zones[i]) < key(zones[j]) })
 	home := append(zones, -1)[0]
 	own = pick(weights[home] > 0.03*sum, weights[home]/sum, 1) // a lost home draws nothing to it
-	ahead := pick(home == r.zone, r.foresight(load/sum, weights[home]/served, own), 0)
 	for i, z := range zones {
+		ahead := r.foresight(load/sum, weights[z]/served, own)
 		costs[z] = costs[z]/weights[z] + pick(z == r.zone, ahead, 1+rankStep*float64(i-1))
 	}
 	return costs, own, load / sum
@@ -603,7 +601,6 @@
 	return lines, own
 }
 
-// share runs the projected-gradient loop from the listed shares.
 func share(lines []line, own float64) {
 	project(lines)
 	for range 24 {
@@ -685,6 +682,7 @@
 	told, levels map[int]Admit
 	solved       bool // since the last push
 	pushed       float64
+	number       int
 }
 
 type proxy struct {
@@ -723,8 +721,10 @@
 func (c *courier) flush() {
 	pace, before := c.b.brief.num("lines_per_s", 1000)/1000, c.written
 	c.waiting, c.at = math.Max(0, c.waiting-(c.b.now-c.at)*pace/2), c.b.now
-	for i := range c.tables {
-		c.push(i)
+	turns := slices.Clone(c.tables) // what waited longest goes first
+	sort.SliceStable(turns, func(i, j int) bool { return turns[i].pushed < turns[j].pushed })
+	for _, t := range turns {
+		c.push(t)
 	}
 	c.bindAll()
 	c.shut()
@@ -779,8 +779,8 @@
 
 // push writes a used table's differences, the largest first, while there is room. What must go doesn't wait,
 // nor what replaces it while less than half a table stands.
-func (c *courier) push(i int) {
-	t, zone := c.tables[i], i/len(c.b.groups)
+func (c *courier) push(t *table) {
+	zone := t.number / len(c.b.groups)
 	users, joined := 0.0, false
 	for _, p := range c.proxies {
 		joined, users = joined || p.Zone == zone, users+pick(p.Zone == zone && p.bound, 1, 0)
@@ -816,7 +816,7 @@
 		}
 		kept += pick(c.gone(k), 0, t.want[k]-t.sent[k])
 		t.sent[k], written = t.want[k], written+1
-		c.b.order(SetLine{Table: i, Endpoint: k, Weight: t.sent[k]})
+		c.b.order(SetLine{Table: t.number, Endpoint: k, Weight: t.sent[k]})
 	}
 	maps.DeleteFunc(t.sent, func(_ int, weight float64) bool { return weight == 0 })
 	t.pushed = pick(written > 0, c.b.now, t.pushed)
