--- a/brain/brain.go
+++ b/brain/brain.go
@@ -720,7 +720,7 @@
 // flush writes differences, drains first, then bindings.
 func (c *courier) flush() {
 	pace, before := c.b.brief.num("lines_per_s", 1000)/1000, c.written
-	c.waiting, c.at = math.Max(0, c.waiting-(c.b.now-c.at)*pace/2), c.b.now
+	c.waiting, c.at = math.Max(0, c.waiting-(c.b.now-c.at)*pace/4), c.b.now
 	turns := slices.Clone(c.tables) // what waited longest goes first
 	sort.SliceStable(turns, func(i, j int) bool { return turns[i].pushed < turns[j].pushed })
 	for _, t := range turns {
@@ -744,7 +744,7 @@
 		}
 		cost, first := c.b.brief.num("head_lines", 4)+1, p.Zone*len(c.b.groups)
 		for g := range c.b.groups {
-			cost += float64(len(c.tables[first+g].sent) + 1)
+			cost += float64(len(c.tables[first+g].sent) + len(c.tables[first+g].told) + 1)
 		}
 		if c.waiting > 0 && c.waiting+cost > 0.4*c.b.brief.num("backlog", 1000) {
 			if c.woken <= c.b.now {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -377,10 +377,13 @@
 		p := &bench{t: t, b: New(1, map[string]any{"lines_per_s": 4000.0, "head_lines": 4.0, "backlog": 8000.0,
 			"messages_most": 30.0, "messages_over": 10000.0, "proxy_count": 200.0, "req_kinds": []any{map[string]any{}}}),
 			lines: map[int]map[int]float64{}, out: map[int]bool{}, levels: map[string]Admit{}, bound: map[int][]Bind{}}
-		queue, written := 0.0, map[int]int{}
+		queue, written, marks := 0.0, map[int]int{}, []Note(nil)
 		for tick := range 400 {
 			p.now = float64(tick) * 50
 			notes := []Note{Alarm{"bind"}}
+			if queue == 0 { // all has left the channel
+				notes, marks = append(notes, marks...), nil
+			}
 			switch {
 			case tick == 0:
 				notes = append(notes, append([]Note{Listing{Mode: Remembered, Entries: list}}, crowd(0, 100)...)...)
@@ -399,6 +402,8 @@
 			all = append(all, orders...)
 			for _, o := range orders {
 				switch o := o.(type) {
+				case Mark:
+					marks = append(marks, Applied{Number: o.Number})
 				case Bind:
 					queue += 5 + float64(len(p.lines[o.Table]))
 					written[o.Proxy]++
