--- a/brain/brain.go
+++ b/brain/brain.go
@@ -23,7 +23,7 @@
 const (
 	gatherMs   = 1000.0  // the gather window: reports are about this far apart
 	theta      = 0.25    // penalty gain in a gather
-	priciest   = 1.1     // a penalty above every rank says no more, and a higher one would be slow to come down
+	priciest   = 1.1     // a penalty above every rank says no more, and a higher one is slow to come down
 	single     = 0.4     // weight of an endpoint's own penalty against its zone's mean: one report is noisy
 	reach      = 1.5     // length of the gradient loop, in units of the own zone's part
 	calm       = 0.7     // weight of a new load report against the earlier ones
@@ -41,14 +41,14 @@
 	longQueue  = 10.0    // a queue that counts as much as a whole load on top of a full one
 )
 
-// In sets: margin of latency and cost of a rank; waits for a trial; load that denies reqs, how fast, what stays;
-// failures and load to try again at; gap that is sent again, and more where a table takes the channel a second.
+// In sets: margin of latency and cost of a rank; waits for a trial; load that denies, how fast, what stays;
+// failures and load to try again at; gap that is sent, and more where a table takes the channel a second.
 const (
-	rankMargin, rankStep            = 1.3, 0.2
-	firstWait, longWait, waitGrowth = 4000.0, 20000.0, 1.6
-	full, shedStep, leastLevel      = 0.9, 0.06, 0.1
-	fewFail, roomy                  = 0.02, 0.7
-	tolerance, thrift               = 0.12, 0.15
+	rankMargin, rankStep                = 1.3, 0.2
+	firstWait, longWait, waitGrowth     = 4000.0, 20000.0, 1.6
+	full, shedStep, release, leastLevel = 0.9, 0.06, 0.92, 0.1
+	fewFail, roomy                      = 0.02, 0.7
+	tolerance, thrift                   = 0.12, 0.15
 )
 
 type briefing map[string]any
@@ -88,7 +88,7 @@
 	groups          []kindGroup
 	kinds           []briefing // what was told of each req kind
 	proxies         map[int]Joined
-	seen, usual     map[int]float64 // reqs that came by zone of the proxies, and would have ordinarily, fading
+	seen, usual     map[int]float64 // reqs that came by the proxies' zone, and ordinarily do, fading
 	asked           map[int]float64 // reqs by kind, fading
 	demand          map[int]float64 // reqs a second by zone of the proxies, and at -1 of all
 	orders          []Order
@@ -100,7 +100,6 @@
 	ownZone         bool
 }
 
-// New makes a Brain from its seed and the terms received at start.
 func New(seed int64, terms map[string]any) *Brain {
 	b := &Brain{brief: terms, proxies: map[int]Joined{}, demand: map[int]float64{}, seen: map[int]float64{},
 		usual: map[int]float64{}, asked: map[int]float64{}}
@@ -279,8 +278,8 @@
 		r.take = r.read
 		b.regions, b.actors = append(b.regions, r), append(b.actors, &r.inbox)
 		for range b.groups {
-			b.desk.tables = append(b.desk.tables, &table{number: len(b.desk.tables), pushed: -1e9,
-				sent: map[int]float64{}, want: map[int]float64{}, told: map[int]Admit{}, levels: map[int]Admit{}})
+			b.desk.tables = append(b.desk.tables, &table{number: len(b.desk.tables), sent: map[int]float64{},
+				told: map[int]Admit{}, levels: map[int]Admit{}, want: map[int]float64{}})
 		}
 	}
 	return b.regions[zone]
@@ -383,8 +382,7 @@
 	if !ok {
 		return
 	}
-	e.load += (load - e.load) * pick(e.load < 0 || e.b.now-e.heard > staleMs, 1, calm)
-	e.heard = e.b.now
+	e.load, e.heard = e.load+(load-e.load)*pick(e.load < 0 || e.b.now-e.heard > staleMs, 1, calm), e.b.now
 }
 
 // hindsight scales a load report by what the tables changed since: else the penalty acts again and swings.
@@ -639,18 +637,19 @@
 	if load > full || load > r.b.knee && r.failing > 0.2 {
 		r.sheds[g] = math.Min(0.9, before+(1-before)*(shedStep+r.failing/8))
 	} else if load < full-0.05 {
-		r.sheds[g] = math.Max(0, 0.92*before-0.005)
+		r.sheds[g] = math.Max(0, release*before-0.005)
 	}
 	if (before == 0) != (r.sheds[g] == 0) {
-		r.b.say("zone %d kinds %b: denying %.2f, load %.2f failing %.2f", r.zone, mask, r.sheds[g], load, r.failing)
+		r.b.say("zone %d kinds %b: denying %.2f load %.2f fail %.2f", r.zone, mask, r.sheds[g], load, r.failing)
 	}
+	usual := r.b.brief.num("retry_default", 0)
 	again := r.b.brief.num("first_wait", 1) <= 1 && r.failing > fewFail && load*(1+r.failing) < roomy
 	left := r.sheds[g] * float64(bits.OnesCount(uint(mask)))
 	for _, k := range order {
 		if mask&(1<<k) != 0 {
 			cut := pick(r.b.brief["admission"] == "share", math.Min(1-leastLevel, left), 0)
 			left -= cut
-			way := pick(again && r.b.kinds[k]["repeats"] == "replayable", 2, r.b.brief.num("retry_default", 0))
+			way := pick(again && r.b.kinds[k]["repeats"] == "replayable", 2, usual)
 			r.b.desk.post(Admit{r.zone*len(r.b.groups) + g, 1 << k, int(way), 1 - cut})
 		}
 	}
@@ -658,8 +657,8 @@
 
 func (b *Brain) byPayoff() (order []int) {
 	var worth []float64
-	for k, kind := range b.kinds {
-		order, worth = append(order, k), append(worth, kind.num("payoff", 1)/kind.num("response_target", 1000))
+	for k, of := range b.kinds {
+		order, worth = append(order, k), append(worth, of.num("payoff", 1)/of.num("response_target", 1000))
 	}
 	sort.SliceStable(order, func(i, j int) bool { return worth[order[i]] < worth[order[j]] })
 	return order
@@ -746,7 +745,7 @@
 		for g := range c.b.groups {
 			cost += float64(len(c.tables[first+g].sent) + len(c.tables[first+g].told) + 1)
 		}
-		if c.waiting > 0 && c.waiting+cost > 0.4*c.b.brief.num("backlog", 1000) {
+		if c.waiting > 0 && c.waiting+cost > 0.3*c.b.brief.num("backlog", 1000) {
 			if c.woken <= c.b.now {
 				c.woken = c.b.now + bindMs
 				c.b.order(WakeAt{c.woken, "bind"})
@@ -761,20 +760,21 @@
 	}
 }
 
-// shut says what goes out now, and to newcomers what went before; only who waits for a table still has it.
+// shut says what goes out now and, within their grace, what went lately to newcomers that wait for a table.
 func (c *courier) shut() {
-	unbound, said, remind := 0.0, 0.0, c.newcomers && c.reminded+gatherMs <= c.b.now
+	due := c.reminded + c.b.brief.num("drain_grace", 2000)/2
+	unbound, remind := map[int]float64{}, c.newcomers && due <= c.b.now
 	for _, p := range c.proxies {
-		unbound += pick(p.bound, 0, 1)
+		unbound[p.Zone] += pick(p.bound, 0, 1)
 	}
 	for _, i := range slices.Sorted(maps.Keys(c.out)) {
-		if c.out[i] == c.b.now || remind && unbound > 0 && c.b.now-c.out[i] < lastingMs {
+		cost := unbound[c.b.bes[i].Zone]
+		if c.out[i] == c.b.now || remind && cost > 0 && c.b.now-c.out[i] < lastingMs {
 			c.b.order(Withdraw{i, true})
-			said++
+			c.spend(cost)
 		}
 	}
 	c.reminded, c.newcomers = pick(remind, c.b.now, c.reminded), c.newcomers && !remind
-	c.spend(pick(said > 0, unbound*(c.b.brief.num("head_lines", 4)+1+said), 0))
 }
 
 // push writes a used table's differences, the largest first, while there is room. What must go doesn't wait,
