--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,7 +45,7 @@
 // failures and load to try again at; gap that is sent, and more where a table takes the channel a second.
 const (
 	rankMargin, rankStep                = 1.3, 0.2
-	firstWait, longWait, waitGrowth     = 4000.0, 20000.0, 1.6
+	firstWait, longWait, waitGrowth     = 2000.0, 20000.0, 2.0
 	full, shedStep, release, leastLevel = 0.9, 0.06, 0.92, 0.1
 	fewFail, roomy                      = 0.02, 0.7
 	tolerance, thrift                   = 0.12, 0.15
@@ -356,7 +356,6 @@
 	}
 }
 
-// relist takes over what the list says. A new start makes a new endpoint of it, cold and without a record.
 func (e *endpoint) relist(n Entry) {
 	if e.listed && n.Started != e.Started {
 		e.views, e.price, e.load, e.heard = map[int]*view{}, 0, -1, -staleMs
@@ -571,7 +570,8 @@
 func (r *region) candidates(g int) (lines []line, own float64) {
 	costs, own, load := r.costs(g)
 	sum, near, chill, trusted := 1e-9, 1e-9, 1e-9, 0.0
-	cold, bend := pick(r.b.gathers < 5, 0, 1-r.failing), 1.0 // a fresh pilot knows too little
+	rush := (r.b.seen[r.zone] + enoughReqs) / (r.b.usual[r.zone] + enoughReqs)   // who is refused comes again
+	cold, bend := pick(r.b.gathers < 5, 0, (1-r.failing)/math.Max(1, rush)), 1.0 // fresh pilots know too little
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
 		o, l := r.offers[i], line{be: i}
 		if r.b.groups[g].open(r.zone, o) && o.Phase == Ready {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -284,7 +285,8 @@
 			p := pilot(t, nil)
 			p.gather(6, func() []Note { return tries(0, 20, 0, 0.3, 0, 1, 2, 3, 4, 5) })
 			p.gather(4, c.notes)
-			assert.Equal(t, c.gone, p.lines[0][0] == 0)
+			out := func(log string) bool { return strings.HasPrefix(log, "endpoint 0 zone 0: out") }
+			assert.Equal(t, c.gone, slices.ContainsFunc(p.logs, out), p.logs)
 			assert.Greater(t, p.lines[1][2], 0.0, "the other zone's table is judged by its own proxies")
 		})
 	}
