What must go waits for the next gather where it would pass the backlog

By its own count the courier now stops at the backlog; the rest goes first in the next gather, within the grace. Sums of proxies that have left count nowhere.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -152,7 +152,6 @@
 
 func (b *Brain) order(o Order) { b.orders = append(b.orders, o) }
 
-// Handle takes all notes of one moment and returns the orders they lead to.
 func (b *Brain) Handle(nowMs float64, notes []Note) []Order {
 	b.now, b.orders = math.Max(b.now, nowMs), nil
 	if !b.woken { // each pilot gathers at its own point of the window
@@ -254,10 +253,11 @@
 	case Left:
 		delete(b.proxies, n.Proxy)
 	case Demand:
-		p := b.proxies[n.Proxy]
-		b.seen[p.Zone] = lineFade*b.seen[p.Zone] + float64(n.Reqs)
-		b.asked[n.Kind] = lineFade*b.asked[n.Kind] + float64(n.Reqs)
-		b.usual[p.Zone] = lineFade*b.usual[p.Zone] + p.Rate*n.SpanMs/1000/float64(len(b.kinds))
+		if p, ours := b.proxies[n.Proxy]; ours {
+			b.seen[p.Zone] = lineFade*b.seen[p.Zone] + float64(n.Reqs)
+			b.asked[n.Kind] = lineFade*b.asked[n.Kind] + float64(n.Reqs)
+			b.usual[p.Zone] = lineFade*b.usual[p.Zone] + p.Rate*n.SpanMs/1000/float64(len(b.kinds))
+		}
 	}
 }
 
@@ -378,10 +378,9 @@
 			load, ok = (math.Sqrt(q*q+4*q)-q)/2+q/longQueue, true
 		}
 	}
-	if !ok {
-		return
+	if ok {
+		e.load, e.heard = e.load+(load-e.load)*pick(e.load < 0 || e.b.now-e.heard > staleMs, 1, calm), e.b.now
 	}
-	e.load, e.heard = e.load+(load-e.load)*pick(e.load < 0 || e.b.now-e.heard > staleMs, 1, calm), e.b.now
 }
 
 // hindsight scales a load report by what the tables changed since: else the penalty acts again and swings.
@@ -571,7 +570,7 @@
 	costs, own, load := r.costs(g)
 	sum, near, chill, trusted := 1e-9, 1e-9, 1e-9, 0.0
 	rush := (r.b.seen[r.zone] + enoughReqs) / (r.b.usual[r.zone] + enoughReqs)   // who is refused comes again
-	cold, bend := pick(r.b.gathers < 5, 0, (1-r.failing)/math.Max(1, rush)), 1.0 // fresh pilots know too little
+	cold, bend := pick(r.b.gathers < 5, 0, (1-r.failing)/math.Max(1, rush)), 1.0 // a fresh pilot: none
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
 		o, l := r.offers[i], line{be: i}
 		if r.b.groups[g].open(r.zone, o) && o.Phase == Ready {
@@ -716,7 +715,6 @@
 
 func (c *courier) spend(lines float64) { c.waiting, c.written = c.waiting+lines, c.written+lines }
 
-// flush writes differences, drains first, then bindings.
 func (c *courier) flush() {
 	pace, before := c.b.brief.num("lines_per_s", 1000)/1000, c.written
 	c.waiting, c.at = math.Max(0, c.waiting-(c.b.now-c.at)*pace/4), c.b.now
@@ -728,13 +726,11 @@
 	c.bindAll()
 	c.shut()
 	if c.written > before {
-		mark := int(c.b.now) % markNames
-		c.marks[mark] = before
-		c.b.order(Mark{Number: mark})
+		c.marks[int(c.b.now)%markNames] = before
+		c.b.order(Mark{Number: int(c.b.now) % markNames})
 	}
 }
 
-// bindAll binds who waits for it as far as the channel has room; the others follow when it has run down.
 func (c *courier) bindAll() {
 	for _, name := range slices.Sorted(maps.Keys(c.proxies)) {
 		p := c.proxies[name]
@@ -762,19 +758,22 @@
 
 // shut says what goes out now and, within their grace, what went lately to newcomers that wait for a table.
 func (c *courier) shut() {
-	due := c.reminded + c.b.brief.num("drain_grace", 2000)/2
-	unbound, remind := map[int]float64{}, c.newcomers && due <= c.b.now
+	remind := c.newcomers && c.reminded+c.b.brief.num("drain_grace", 2000)/2 <= c.b.now
+	unbound, again := map[int]float64{}, false
 	for _, p := range c.proxies {
 		unbound[p.Zone] += pick(p.bound, 0, 1)
 	}
 	for _, i := range slices.Sorted(maps.Keys(c.out)) {
 		cost := unbound[c.b.bes[i].Zone]
-		if c.out[i] == c.b.now || remind && cost > 0 && c.b.now-c.out[i] < lastingMs {
+		due := c.out[i] == c.b.now || remind && cost > 0 && c.b.now-c.out[i] < lastingMs
+		fits := cost == 0 || c.waiting+cost < c.b.brief.num("backlog", 1000)
+		if due && fits {
 			c.b.order(Withdraw{i, true})
 			c.spend(cost)
 		}
+		again = again || due && !fits
 	}
-	c.reminded, c.newcomers = pick(remind, c.b.now, c.reminded), c.newcomers && !remind
+	c.reminded, c.newcomers = pick(remind, c.b.now, c.reminded), c.newcomers && !remind || again
 }
 
 // push writes a used table's differences, the largest first, while there is room. What must go doesn't wait,
@@ -811,8 +810,9 @@
 	order := slices.Sorted(maps.Keys(gaps))
 	sort.SliceStable(order, func(i, j int) bool { return gaps[order[i]] > gaps[order[j]] })
 	for _, k := range order {
-		if lines--; lines < 0 && !c.gone(k) && kept > full/2 {
-			break
+		fits := users == 0 || c.waiting+users*(written+head+1) < c.b.brief.num("backlog", 1000)
+		if lines--; !fits || lines < 0 && !c.gone(k) && kept > full/2 {
+			break // a drain that doesn't fit goes first in the next gather, within its grace
 		}
 		kept += pick(c.gone(k), 0, t.want[k]-t.sent[k])
 		t.sent[k], written = t.want[k], written+1
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -473,6 +473,7 @@
 		"one, weight 0":      {map[string]any{"req_kinds": []any{map[string]any{}}}, []Note{Listing{Mode: Whole, Entries: []Entry{{}}}, Joined{}, Joined{}, Alarm{"gather"}}},
 		"all draining":       {map[string]any{"req_kinds": []any{map[string]any{}}}, []Note{Listing{Entries: []Entry{{Phase: Draining}}}, Joined{}, Alarm{"gather"}}},
 		"unknown endpoint":   {map[string]any{"req_kinds": []any{map[string]any{}}}, []Note{Met{Endpoint: 9, Zone: 3, Tries: 5}, Probed{Endpoint: 4}, Alarm{"gather"}}},
+		"sums of strangers":  {map[string]any{"req_kinds": []any{map[string]any{}}}, []Note{Demand{Proxy: 9, Reqs: 500, SpanMs: 1000}, Applied{Proxy: 9, Number: 70000}, Gossip{}, Probed{Endpoint: 900, Load: Load{"util": 1, "rate": 5}}, Alarm{"gather"}}},
 		"slices":             {map[string]any{"slices": 64.0, "req_kinds": []any{map[string]any{}}}, []Note{Joined{}, SliceCharge{}, SliceLine{}, Alarm{"gather"}}},
 		"list must be asked": {map[string]any{"discovery": "on_request"}, []Note{Listing{Mode: ListFailed}}},
 	} {
