--- a/brain/brain.go
+++ b/brain/brain.go
@@ -316,7 +316,6 @@
 	}
 }
 
-// mean is the geometric mean, 0 while there are fewer than two counts, and total the counts.
 func (h *histogram) mean() (mean, total float64) {
 	for i, n := range h.bins {
 		mean += n * float64(i-8) / 2
@@ -366,7 +365,6 @@
 	e.Entry, e.listed = n, true
 }
 
-// report averages load reports; without util the load is that of the single queue that would be as long.
 func (e *endpoint) report(l Load) {
 	load, ok := l["util"]
 	if rate := l["rate"]; ok && load > 0.15 && rate > 0 {
@@ -612,7 +610,6 @@
 	}
 }
 
-// project moves shares to sum to 1 between 0 and their caps, in proportion; caps too narrow all give way.
 func project(lines []line) {
 	for range 12 {
 		rest, free := 1.0, 0.0
@@ -759,14 +756,17 @@
 // shut says what goes out now and, within their grace, what went lately to newcomers that wait for a table.
 func (c *courier) shut() {
 	remind := c.newcomers && c.reminded+c.b.brief.num("drain_grace", 2000)/2 <= c.b.now
-	unbound, again := map[int]float64{}, false
+	unbound, bound, again := map[int]float64{}, map[int]float64{}, false
 	for _, p := range c.proxies {
 		unbound[p.Zone] += pick(p.bound, 0, 1)
+		bound[p.Zone] += pick(p.bound, 1, 0)
 	}
 	for _, i := range slices.Sorted(maps.Keys(c.out)) {
 		cost := unbound[c.b.bes[i].Zone]
 		due := c.out[i] == c.b.now || remind && cost > 0 && c.b.now-c.out[i] < lastingMs
+		held := func(t *table) bool { return t.sent[i] > 0 && bound[t.number/len(c.b.groups)] > 0 }
 		fits := cost == 0 || c.waiting+cost < c.b.brief.num("backlog", 1000)
+		fits = fits && !slices.ContainsFunc(c.tables, held) // else its line goes first, at the same price
 		if due && fits {
 			c.b.order(Withdraw{i, true})
 			c.spend(cost)
