Key ranges of slices reach proxies on both wires; notes between pilots are sealed

What the list source says of a slice in a pilot's charge now goes to its proxies as a range of keys with the stored lines, when it is given and when a proxy joins; the follower picks by key and reports demand by slice.

Another key, another rank, plain text and repeats are refused (TestSealed). Records have a new format, as slices carry their range.

--- a/cmd/indigousher/keys.go
+++ b/cmd/indigousher/keys.go
@@ -12,6 +12,7 @@
 
 func keysCommand() *cobra.Command {
 	var lasts time.Duration
+	var secret string
 	c := &cobra.Command{Use: "keys DIR ROLE/ZONE/NAME...", Short: "Make an authority and certificates for rehearsals, as proxy/north/p1",
 		Long: "Makes an authority whose own key is not kept, and one certificate for each identity. ROLE is proxy, pilot,\n" +
 			"operator or source. A deployment has its own authority; its certificates need the same identity as a URI.",
@@ -32,6 +33,12 @@
 			if err != nil {
 				return err
 			}
+			if secret != "" {
+				if err := keys.NewSecret(secret); err != nil {
+					return err
+				}
+				fmt.Fprintln(cmd.OutOrStdout(), "secret between pilots:", secret)
+			}
 			for _, i := range who {
 				f, err := authority.Issue(args[0], i, time.Now().Add(-time.Minute), lasts)
 				if err != nil {
@@ -41,6 +48,7 @@
 			}
 			return nil
 		}}
+	c.Flags().StringVar(&secret, "secret", "", "also write a new secret between pilots to this file")
 	c.Flags().DurationVar(&lasts, "lasts", 24*time.Hour, "how long they hold")
 	return c
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -290,8 +290,12 @@
 	if t.PeersListen == "" {
 		return peers.Nobody{}, nil
 	}
-	if d.ring != nil {
-		return nil, errors.New("listen for pilots: notes between pilots are not sealed and want plain = true")
+	var secret *keys.Secret
+	if t.PeersSecret != "" {
+		var err error
+		if secret, err = keys.LoadSecret(t.PeersSecret); err != nil {
+			return nil, fmt.Errorf("listen for pilots: %w", err)
+		}
 	}
 	conn, err := net.ListenPacket("udp", t.PeersListen)
 	if err != nil {
@@ -305,6 +309,7 @@
 	if d.post, err = peers.Open(d.outfit.Packet(conn), t.Rank, ranks, later{d}, d.outfit.Log.Named("peers")); err != nil {
 		return nil, errors.Join(err, conn.Close())
 	}
+	d.post.Secret = secret
 	return d.post, nil
 }
 
--- a/internal/edge/contract_test.go
+++ b/internal/edge/contract_test.go
@@ -137,7 +137,8 @@
 	set := func(e string, w float64) wire.Op { return wire.Op{Kind: wire.OpSet, Table: 2, Endpoint: e, Weight: w} }
 	orders := &wire.Orders{AtMs: 10, AgeMs: 3, Lines: 9, Ops: []wire.Op{{Kind: wire.OpBind, Table: 2, Kinds: 3, Keep: true}, set("x", 1),
 		set("y", 0.5), {Kind: wire.OpWithdraw, Endpoint: "y", Out: true},
-		{Kind: wire.OpAdmit, Table: 2, Kinds: 1, Weight: 0.5, Again: 1}, {Kind: wire.OpMark, Number: 7}}}
+		{Kind: wire.OpAdmit, Table: 2, Kinds: 1, Weight: 0.5, Again: 1}, {Kind: wire.OpRange, Table: 3, From: "a", To: "k"}, {Kind: wire.OpRange, Table: 4, Out: true},
+		{Kind: wire.OpMark, Number: 7}}}
 	for _, c := range []struct {
 		name string
 		run  func(t *testing.T, s server, in *inbox, st pilot.Stream, l proxy.Line, stop func())
--- a/internal/edge/grpcedge/convert.go
+++ b/internal/edge/grpcedge/convert.go
@@ -145,6 +145,9 @@
 	case wire.OpAdmit:
 		return &pb.Step{Does: &pb.Step_Level{Level: &pb.Level{Table: uint32(o.Table), Kinds: uint32(o.Kinds), Share: o.Weight,
 			Again: uint32(o.Again)}}}
+	case wire.OpRange:
+		return &pb.Step{Does: &pb.Step_Range{Range: &pb.KeyRange{Table: uint32(o.Table), From: []byte(o.From), To: []byte(o.To),
+			Gone: o.Out}}}
 	}
 	return nil
 }
@@ -167,6 +170,9 @@
 		case *pb.Step_Level:
 			out.Ops = append(out.Ops, wire.Op{Kind: wire.OpAdmit, Table: int(d.Level.GetTable()), Kinds: int(d.Level.GetKinds()),
 				Weight: d.Level.GetShare(), Again: int(d.Level.GetAgain())})
+		case *pb.Step_Range:
+			out.Ops = append(out.Ops, wire.Op{Kind: wire.OpRange, Table: int(d.Range.GetTable()), From: string(d.Range.GetFrom()),
+				To: string(d.Range.GetTo()), Out: d.Range.GetGone()})
 		}
 	}
 	for _, m := range a.GetMarks() {
--- a/internal/edge/list/list_test.go
+++ b/internal/edge/list/list_test.go
@@ -84,7 +84,7 @@
 	l.Put(0, wire.Entry{Endpoint: "x", Phase: wire.PhaseGone})
 	in.has(t, "whole x", "changes y", "whole x y", "slice 7 true [{x 1}]", "lost")
 	require.NoError(t, l.Start())
-	in.has(t, "whole x", "changes y", "whole x y", "slice 7 true [{x 1}]", "lost", "whole y")
+	in.has(t, "whole x", "changes y", "whole x y", "slice 7 true [{x 1}]", "lost", "whole y", "slice 7 true [{x 1}]")
 }
 
 // TestSilentStream guards against a source that takes the connection and says nothing, or not what is asked.
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -1,5 +1,6 @@
 // Package peers carries short texts between pilots over UDP: at most one datagram each, lost without a word, never
-// waited for. Datagrams open with a magic and the sender's rank; whatever else arrives is counted and dropped.
+// waited for. Datagrams open with a magic and the sender's rank; whatever else arrives is counted and dropped. With a
+// secret what follows is sealed, and a datagram that comes again is dropped as well.
 package peers
 
 import (
@@ -13,6 +14,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"indigousher/internal/keys"
 	"indigousher/internal/pilot"
 )
 
@@ -42,6 +44,25 @@
 	return int(binary.BigEndian.Uint16(b[4:])), string(b[headBytes:]), nil
 }
 
+// seal lays out a datagram whose text only those can read who share the secret.
+func seal(s *keys.Secret, from int, text string) ([]byte, error) {
+	b := Encode(from, text)
+	return s.Seal(append([]byte{}, b[:headBytes]...), b[:headBytes], b[headBytes:])
+}
+
+// unseal takes one apart, with its number.
+func unseal(s *keys.Secret, b []byte) (from int, number uint64, text string, err error) {
+	if len(b) < headBytes {
+		return 0, 0, "", ErrDatagram
+	}
+	number, inside, err := s.Open(b[:headBytes], b[headBytes:])
+	if err != nil {
+		return 0, 0, "", err
+	}
+	from, text, err = Decode(append(append([]byte{}, b[:headBytes]...), inside...))
+	return from, number, text, err
+}
+
 // Inbox is where inputs go: the runtime's loop.
 type Inbox interface {
 	Post(ctx context.Context, in pilot.Input) error
@@ -55,18 +76,21 @@
 	inbox Inbox
 	log   *zap.Logger
 	pace  *rate.Limiter
+	// Secret, if not nil, seals all notes; nothing else is taken in.
+	Secret *keys.Secret
+	once   map[int]*keys.Once
 }
 
 // Open returns a post on an open socket. Peers are addresses by rank.
 func Open(conn net.PacketConn, rank int, peers map[int]string, inbox Inbox, log *zap.Logger) (*Post, error) {
 	p := &Post{conn: conn, rank: rank, peers: map[int]net.Addr{}, inbox: inbox, log: log,
-		pace: rate.NewLimiter(1000, 1000)}
+		pace: rate.NewLimiter(1000, 1000), once: map[int]*keys.Once{}}
 	for r, name := range peers {
 		a, err := net.ResolveUDPAddr("udp", name)
 		if err != nil {
 			return nil, fmt.Errorf("address of pilot %d: %w", r, err)
 		}
-		p.peers[r] = a
+		p.peers[r], p.once[r] = a, &keys.Once{}
 	}
 	return p, nil
 }
@@ -77,7 +101,14 @@
 		if r == p.rank || peer >= 0 && r != peer {
 			continue
 		}
-		if _, err := p.conn.WriteTo(Encode(p.rank, text), a); err != nil {
+		b, err := Encode(p.rank, text), error(nil)
+		if p.Secret != nil {
+			b, err = seal(p.Secret, p.rank, text)
+		}
+		if err == nil {
+			_, err = p.conn.WriteTo(b, a)
+		}
+		if err != nil {
 			p.log.Debug("note to a pilot lost", zap.Int("to", r), zap.Error(err))
 		}
 	}
@@ -87,7 +118,7 @@
 func (p *Post) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = p.conn.Close() })
 	defer stop()
-	buf := make([]byte, headBytes+MaxText+1)
+	buf := make([]byte, headBytes+keys.SealBytes+MaxText+1)
 	for {
 		n, from, err := p.conn.ReadFrom(buf)
 		if ctx.Err() != nil {
@@ -99,7 +130,7 @@
 			}
 			continue // a refusal that a former note met
 		}
-		rank, text, err := Decode(buf[:n])
+		rank, text, err := p.open(buf[:n])
 		if err != nil || p.peers[rank] == nil || !p.pace.AllowN(time.Now(), 1) {
 			p.log.Debug("note dropped", zap.Stringer("from", from), zap.Error(err))
 			continue
@@ -110,6 +141,18 @@
 	}
 }
 
+// open takes a datagram apart, if it is one that may count.
+func (p *Post) open(b []byte) (rank int, text string, err error) {
+	if p.Secret == nil {
+		return Decode(b)
+	}
+	rank, number, text, err := unseal(p.Secret, b)
+	if err == nil && p.once[rank] != nil && !p.once[rank].New(number) {
+		return rank, "", fmt.Errorf("it came before: %w", ErrDatagram)
+	}
+	return rank, text, err
+}
+
 // Nobody is for pilots that have no peers to talk to.
 type Nobody struct{}
 
--- a/internal/edge/peers/peers_test.go
+++ b/internal/edge/peers/peers_test.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"net"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
 
+	"indigousher/internal/keys"
 	"indigousher/internal/pilot"
 )
 
@@ -62,6 +66,57 @@
 	assert.Error(t, err)
 }
 
+// TestSealed shows that with a secret only sealed notes count, each once, and that a key is changed without a gap.
+func TestSealed(t *testing.T) {
+	dir := t.TempDir()
+	make := func(name string) string {
+		path := filepath.Join(dir, name)
+		require.NoError(t, keys.NewSecret(path))
+		return path
+	}
+	ours, others := make("ours"), make("others")
+	a, err := keys.LoadSecret(ours)
+	require.NoError(t, err)
+	b, err := keys.LoadSecret(others)
+	require.NoError(t, err)
+	p := &Post{Secret: a, once: map[int]*keys.Once{3: {}}}
+	note, err := seal(a, 3, "load 0.7")
+	require.NoError(t, err)
+	strange, err := seal(b, 3, "load 0.1")
+	require.NoError(t, err)
+	forged := append([]byte{}, note...)
+	forged[headBytes-1] = 4 // another rank outside
+	for _, c := range []struct {
+		name string
+		data []byte
+		text string
+	}{
+		{"sealed", note, "load 0.7"}, {"the same again", note, ""}, {"under another key", strange, ""},
+		{"another sender's rank", forged, ""}, {"in plain", Encode(3, "x"), ""}, {"cut off", note[:20], ""}, {"nothing", nil, ""},
+	} {
+		_, text, err := p.open(c.data)
+		assert.Equal(t, c.text, text, c.name)
+		assert.Equal(t, c.text == "", err != nil, c.name)
+	}
+	first, err := os.ReadFile(ours)
+	require.NoError(t, err)
+	second, err := os.ReadFile(others)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(ours, append(first, second...), 0o600)) // the other's key is let in behind ours
+	require.NoError(t, os.Chtimes(ours, time.Now(), time.Now().Add(time.Second)))
+	time.Sleep(250 * time.Millisecond)
+	fresh, err := seal(b, 3, "load 0.2")
+	require.NoError(t, err)
+	_, text, err := p.open(fresh)
+	assert.NoError(t, err)
+	assert.Equal(t, "load 0.2", text)
+	require.NoError(t, os.WriteFile(ours, []byte("not hex\n"), 0o600))
+	time.Sleep(250 * time.Millisecond)
+	assert.ErrorContains(t, a.Wrong(), "ours:1: no key")
+	_, err = seal(a, 3, "goes on")
+	assert.NoError(t, err)
+}
+
 // FuzzDecode guards against datagrams of any bytes.
 func FuzzDecode(f *testing.F) {
 	f.Add(Encode(3, "text"))
--- a/internal/pilot/core.go
+++ b/internal/pilot/core.go
@@ -142,6 +142,7 @@
 	tables                            map[int]*table
 	everywhere                        map[int]brain.Admit
 	withdrawn                         map[int]bool
+	slices                            map[int]keyRange // in this pilot's charge, by number, which is that of their table
 	stamps                            map[int]startStamp
 	alarms                            alarms
 	gate                              *gate
@@ -158,6 +159,9 @@
 	Heard                             int // notes handed to the module
 }
 
+// keyRange is which keys fall into a slice.
+type keyRange struct{ from, to string }
+
 // startStamp keeps an endpoint's start as the list stamped it and as the module was told.
 type startStamp struct {
 	stamp  uint64
@@ -167,7 +171,7 @@
 // NewCore returns a core that has been told nothing.
 func NewCore(p Plan) *Core {
 	c := &Core{plan: p, sessions: map[int]*session{}, streams: map[Stream]*session{}, tables: map[int]*table{},
-		everywhere: map[int]brain.Admit{}, withdrawn: map[int]bool{}, stamps: map[int]startStamp{},
+		everywhere: map[int]brain.Admit{}, withdrawn: map[int]bool{}, slices: map[int]keyRange{}, stamps: map[int]startStamp{},
 		Channel: NewChannel(p.LinesPerS, p.Backlog, p.MessagesMost, p.MessagesOverMs, p.Meter)}
 	for _, z := range p.Zones {
 		c.zones.add(z)
@@ -221,6 +225,7 @@
 // Recovered ends a replay: whoever was joined has left, and what is ordered from now on goes out by the plan's edges.
 func (c *Core) Recovered(p Plan) {
 	var leave []Input
+	clear(c.slices) // the store gives them again
 	for _, s := range c.inOrder() {
 		leave = append(leave, Leave{s.stream})
 	}
@@ -339,6 +344,9 @@
 	}
 	c.sessions[proxy], c.streams[in.Stream], c.sorted = s, s, nil
 	c.plan.Meter.joined(len(c.sessions))
+	for _, number := range slices.Sorted(maps.Keys(c.slices)) {
+		c.layRange(s, number)
+	}
 	return append(notes, brain.Joined{Proxy: proxy, Zone: zone, Rate: in.Hello.Rate, Fresh: in.Hello.Fresh})
 }
 
@@ -392,20 +400,40 @@
 	return out
 }
 
-// slice turns a slice that is given or taken into notes: its charge, and the lines stored of it.
+// slice turns a slice that is given or taken into notes: its charge, and the lines stored of it. Proxies learn the range
+// of its keys and the stored lines, which stand until the module orders others.
 func (c *Core) slice(notes []brain.Note, x *wire.Slices) []brain.Note {
 	c.gate.slice(x.Slice, x.Given)
+	delete(c.tables, x.Slice)
+	if delete(c.slices, x.Slice); x.Given {
+		c.slices[x.Slice] = keyRange{x.From, x.To}
+	}
 	notes = append(notes, brain.SliceCharge{Slice: x.Slice, Given: x.Given})
 	for _, l := range x.Lines {
 		if i, known := c.endpoints.find(l.Endpoint); known && x.Given {
 			notes = append(notes, brain.SliceLine{Slice: x.Slice, Endpoint: i, Weight: l.Weight})
+			c.table(x.Slice).lines[i] = l.Weight
 		} else {
 			c.odd("stored line of an unknown endpoint", l.Endpoint)
 		}
 	}
+	for _, s := range c.inOrder() {
+		if x.Given {
+			c.layRange(s, x.Slice)
+		} else {
+			c.write(s, wire.Op{Kind: wire.OpRange, Table: x.Slice, Out: true})
+		}
+	}
 	return notes
 }
 
+// layRange sends a slice's range of keys with its lines and levels to a proxy.
+func (c *Core) layRange(s *session, number int) {
+	r := c.slices[number]
+	c.write(s, wire.Op{Kind: wire.OpRange, Table: number, From: r.from, To: r.to})
+	c.layTable(s, number, nil, false)
+}
+
 // carryOut does one order.
 func (c *Core) carryOut(o brain.Order) {
 	switch o := o.(type) {
@@ -466,7 +494,7 @@
 
 // bind sends a whole table, or what differs from the one that the proxy said it has: its lines, levels, those for all, and which of its endpoints are shut out.
 func (c *Core) bind(o brain.Bind) {
-	s, t := c.sessions[o.Proxy], c.table(o.Table)
+	s := c.sessions[o.Proxy]
 	if s == nil {
 		c.odd("bind of a proxy that has left", c.proxies.name(o.Proxy))
 		return
@@ -485,10 +513,16 @@
 	has, keep := s.tables[o.Table]
 	delete(s.tables, o.Table)
 	c.write(s, wire.Op{Kind: wire.OpBind, Table: o.Table, Kinds: kinds, Keep: keep})
+	c.layTable(s, o.Table, has, keep)
+}
+
+// layTable writes the lines of a table, but for those that the proxy has kept, and its levels.
+func (c *Core) layTable(s *session, number int, has map[string]float64, keep bool) {
+	t := c.table(number)
 	for _, i := range slices.Sorted(maps.Keys(t.lines)) {
 		name := c.endpoints.name(i)
 		if !keep || has[name] != t.lines[i] {
-			c.write(s, wire.Op{Kind: wire.OpSet, Table: o.Table, Endpoint: name, Weight: t.lines[i]})
+			c.write(s, wire.Op{Kind: wire.OpSet, Table: number, Endpoint: name, Weight: t.lines[i]})
 		}
 		delete(has, name)
 		if c.withdrawn[i] {
@@ -496,7 +530,7 @@
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(has)) { // what it has beyond that
-		c.write(s, wire.Op{Kind: wire.OpSet, Table: o.Table, Endpoint: name})
+		c.write(s, wire.Op{Kind: wire.OpSet, Table: number, Endpoint: name})
 	}
 	for _, levels := range []map[int]brain.Admit{t.levels, c.everywhere} {
 		for _, k := range slices.Sorted(maps.Keys(levels)) {
@@ -527,6 +561,11 @@
 			return true
 		}
 	}
+	for number := range c.slices {
+		if c.table(number).lines[endpoint] > 0 {
+			return true
+		}
+	}
 	return false
 }
 
@@ -549,7 +588,8 @@
 // toUsers adds a line to the message of each proxy that uses a table.
 func (c *Core) toUsers(number int, op wire.Op) {
 	for _, s := range c.inOrder() {
-		if _, uses := s.bound[number]; uses {
+		_, uses := s.bound[number]
+		if _, slice := c.slices[number]; uses || slice {
 			c.write(s, op)
 		}
 	}
--- a/internal/record/codec.go
+++ b/internal/record/codec.go
@@ -16,7 +16,7 @@
 )
 
 // Format is the version of the layout.
-const Format = 1
+const Format = 2 // 2: slices with their ranges of keys
 
 // Errors of reading.
 var (
--- a/internal/rehearsal/day.go
+++ b/internal/rehearsal/day.go
@@ -94,7 +94,7 @@
 var whats = []string{"hang", "fast_errors", "class_fail", "vanish", "crash", "restart", "drain", "preempt", "replace",
 	"flapping", "zone_cut", "zone_loss", "slow_link", "handshake_slow", "proxy_crash", "proxy_roll", "pilot_kill",
 	"pilot_roll", "reconnect", "counter_down", "burst", "hot_caller", "heavy_tail", "shift", "list_down", "list_all",
-	"reload", "mute_proxy", "report_burst", "answers_twice", "silent", "handover"}
+	"reload", "mute_proxy", "report_burst", "answers_twice", "silent", "handover", "slice_move"}
 
 // Read reads and checks a day file.
 func Read(name string, text []byte) (*Day, error) {
--- a/internal/rehearsal/stage.go
+++ b/internal/rehearsal/stage.go
@@ -76,6 +76,7 @@
 	most      pilot.State
 	authority *keys.Authority
 	keyDir    string
+	owners    []string // of slices, by number; addresses of endpoints
 }
 
 // seat is a pilot's place; its process may die and come back.
@@ -156,6 +157,7 @@
 	if !s.Day.ListEmpty {
 		s.listAll()
 	}
+	s.dealSlices()
 	if !s.Bare {
 		for i, z := range s.Day.PilotZones {
 			st := &seat{name: fmt.Sprintf("pilot-%d", i), zone: z}
@@ -497,7 +499,7 @@
 // load makes the clients' load of the day and of its troubles.
 func (s *stage) load() client.Load {
 	l := client.Load{Rate: s.Day.Rate, Over: s.Day.Length, Retries: s.Day.Retries, Backoff: s.Day.Backoff,
-		Seed: uint64(s.Day.Seed)}
+		Seed: uint64(s.Day.Seed), Keys: s.Day.Slices * keysEach}
 	for _, x := range s.Day.Demands {
 		k := s.Day.Kinds[slices.Index(s.Day.KindNames(), x.Kind)]
 		l.Kinds = append(l.Kinds, client.Kind{Name: x.Kind, Share: x.Share, CV: x.CV, Timeout: k.ClientTimeout,
--- a/internal/rehearsal/strike.go
+++ b/internal/rehearsal/strike.go
@@ -46,6 +46,8 @@
 		}
 	case "list_all":
 		s.listAll()
+	case "slice_move":
+		s.moveSlices(s.endpointsOf(t))
 	}
 	return nil // the others are the clients' doing
 }
--- a/internal/standin/client/client.go
+++ b/internal/standin/client/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -36,6 +37,7 @@
 	Retries int
 	Backoff time.Duration
 	Seed    uint64
+	Keys    int // 0: reqs have none
 	Swells  []Swell
 }
 
@@ -60,6 +62,7 @@
 	Proxy  int
 	Kind   int
 	WorkMs float64
+	Key    string
 }
 
 // Draw draws the reqs of a day.
@@ -106,10 +109,16 @@
 		if heavy > 0 && (heavyKind == "" || heavyKind == k.Name) && rnd.Float64() < heavy {
 			a.WorkMs *= times
 		}
+		if l.Keys > 0 {
+			a.Key = Key(rnd.IntN(l.Keys))
+		}
 		all = append(all, a)
 	}
 }
 
+// Key is a key by its number; their order is that of the numbers.
+func Key(i int) string { return fmt.Sprintf("key-%06d", i) }
+
 // shift moves a part of all weight to some of the proxies.
 func shift(weights []float64, to []int, part float64) {
 	sum, mine := 0.0, 1e-9
@@ -201,7 +210,7 @@
 	outcome := "errored"
 	for try := 0; ; try++ {
 		left := time.Until(start.Add(k.Timeout))
-		ans, err := c.Ask[a.Proxy].Ask(ctx, &wire.Req{Name: name, Kind: k.Name, From: "client", WorkMs: a.WorkMs,
+		ans, err := c.Ask[a.Proxy].Ask(ctx, &wire.Req{Name: name, Kind: k.Name, Key: a.Key, From: "client", WorkMs: a.WorkMs,
 			LimitMs: float64(left) / float64(time.Millisecond)})
 		never := proxy.Never(err) || err == nil && ans.Outcome == wire.Denied
 		if err == nil && ans.Outcome == wire.Fine {
--- a/internal/standin/follow/follow.go
+++ b/internal/standin/follow/follow.go
@@ -3,6 +3,7 @@
 package follow
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -33,6 +34,17 @@
 	again int
 }
 
+// keyRange is the keys that use a table.
+type keyRange struct {
+	from, to string
+	table    int
+}
+
+type sliceKind struct {
+	table int
+	kind  string
+}
+
 func newHeld() *held {
 	return &held{lines: map[string]float64{}, levels: map[int]level{}, turn: map[string]float64{}}
 }
@@ -44,7 +56,9 @@
 	tables     map[int]*held // of this stream, by number
 	before     map[int]*held // of the stream before, for one that is resumed
 	serves     []*held       // by kind: what counts now
-	bound      []bool        // by kind: by this stream
+	ranges     []keyRange    // by their first key; what falls into none goes by its kind's table
+	cameTo     map[sliceKind]*wire.SliceLoad
+	bound      []bool // by kind: by this stream
 	out        map[string]bool
 	outBefore  map[string]bool // what the stream before had shut out; heeded by kinds that are not bound
 	everywhere map[int]level
@@ -69,7 +83,7 @@
 	f := &Follower{habits: h, rnd: rand.New(rand.NewPCG(seed, 3)), tables: map[int]*held{},
 		serves: make([]*held, len(h.Kinds)), bound: make([]bool, len(h.Kinds)), out: map[string]bool{},
 		outBefore: map[string]bool{}, everywhere: map[int]level{}, busy: map[string]int{}, bad: map[string]int{},
-		shunned: map[string]float64{}, met: map[string]*tally{}, came: map[string]*wire.Demand{}}
+		shunned: map[string]float64{}, met: map[string]*tally{}, came: map[string]*wire.Demand{}, cameTo: map[sliceKind]*wire.SliceLoad{}}
 	t := newHeld()
 	for _, name := range standing {
 		t.lines[name] = 1
@@ -86,6 +100,11 @@
 	maps.Copy(f.outBefore, f.out)
 	f.out, f.everywhere = map[string]bool{}, map[int]level{}
 	clear(f.bound)
+	for _, r := range f.ranges { // slices stay until their pilot says otherwise
+		if t := f.before[r.table]; t != nil {
+			f.tables[r.table] = t
+		}
+	}
 }
 
 // Fresh returns whether no stream has ever bound it.
@@ -99,6 +118,11 @@
 			all[name] = true
 		}
 	}
+	for _, r := range f.ranges {
+		for name := range f.table(r.table).lines {
+			all[name] = true
+		}
+	}
 	return slices.Sorted(maps.Keys(all))
 }
 
@@ -144,11 +168,47 @@
 			}
 		case wire.OpMark:
 			marks = append(marks, o.Number)
+		case wire.OpRange:
+			f.rangeOf(o)
 		}
 	}
 	return marks
 }
 
+// rangeOf gives keys to a table that begins anew, or takes them from it.
+func (f *Follower) rangeOf(o wire.Op) {
+	f.ranges = slices.DeleteFunc(f.ranges, func(r keyRange) bool { return r.table == o.Table })
+	if delete(f.tables, o.Table); o.Out {
+		return
+	}
+	f.tables[o.Table] = newHeld()
+	f.ranges = append(f.ranges, keyRange{o.From, o.To, o.Table})
+	slices.SortFunc(f.ranges, func(a, b keyRange) int { return strings.Compare(a.from, b.from) })
+}
+
+// slice returns the table that a key falls to, -1 for none.
+func (f *Follower) slice(key string) int {
+	if len(f.ranges) == 0 {
+		return -1
+	}
+	i, found := slices.BinarySearchFunc(f.ranges, key, func(r keyRange, key string) int { return strings.Compare(r.from, key) })
+	if !found {
+		i--
+	}
+	if i < 0 || f.ranges[i].to != "" && f.ranges[i].to <= key {
+		return -1
+	}
+	return f.ranges[i].table
+}
+
+// serving returns the table that counts for a req.
+func (f *Follower) serving(kind int, key string) *held {
+	if s := f.slice(key); s >= 0 {
+		return f.table(s)
+	}
+	return f.serves[kind]
+}
+
 func (f *Follower) table(number int) *held {
 	if f.tables[number] == nil {
 		f.tables[number] = newHeld()
@@ -222,9 +282,9 @@
 	return none
 }
 
-// Pick draws a line for a kind, none of those tried before if there is another. Where none is left it returns "".
-func (f *Follower) Pick(nowMs float64, kind int, tried []string) string {
-	t := f.serves[kind]
+// Pick draws a line for a kind and key, none of those tried before if there is another. Where none is left it returns "".
+func (f *Follower) Pick(nowMs float64, kind int, key string, tried []string) string {
+	t := f.serving(kind, key)
 	var names []string
 	for pass := 0; pass < 3 && len(names) == 0; pass++ { // then with the shunned, then with those tried
 		for name := range t.lines {
@@ -305,11 +365,30 @@
 	}
 }
 
-// Came notes a req of a kind.
-func (f *Follower) Came(kind int) { f.demandOf(kind).Reqs++ }
+// Came notes a req of a kind with a key.
+func (f *Follower) Came(kind int, key string) {
+	f.demandOf(kind).Reqs++
+	if s := f.slice(key); s >= 0 {
+		f.sliceDemand(s, kind).Reqs++
+	}
+}
 
 // Unanswered notes a req that was let in and got no answer.
-func (f *Follower) Unanswered(kind int) { f.demandOf(kind).Unanswered++ }
+func (f *Follower) Unanswered(kind int, key string) {
+	f.demandOf(kind).Unanswered++
+	if s := f.slice(key); s >= 0 { // also one that came before the last sums: a slice's counts may not be less than these
+		d := f.sliceDemand(s, kind)
+		d.Unanswered, d.Reqs = d.Unanswered+1, max(d.Reqs, d.Unanswered+1)
+	}
+}
+
+func (f *Follower) sliceDemand(table, kind int) *wire.SliceLoad {
+	k := sliceKind{table, f.habits.Kinds[kind]}
+	if f.cameTo[k] == nil {
+		f.cameTo[k] = &wire.SliceLoad{Slice: table, Kind: k.kind}
+	}
+	return f.cameTo[k]
+}
 
 func (f *Follower) demandOf(kind int) *wire.Demand {
 	name := f.habits.Kinds[kind]
@@ -349,7 +428,13 @@
 	for _, k := range slices.Sorted(maps.Keys(f.came)) {
 		s.Demand = append(s.Demand, *f.came[k])
 	}
+	for _, k := range slices.SortedFunc(maps.Keys(f.cameTo), func(a, b sliceKind) int {
+		return cmp.Or(a.table-b.table, strings.Compare(a.kind, b.kind))
+	}) {
+		s.Slices = append(s.Slices, *f.cameTo[k])
+	}
 	clear(f.came)
+	clear(f.cameTo)
 	f.sinceMs = nowMs
 	return s
 }
--- a/internal/standin/list/list.go
+++ b/internal/standin/list/list.go
@@ -22,6 +22,7 @@
 	book    *trail.Trail
 	mu      sync.Mutex
 	entries map[string]wire.Entry
+	slices  map[int]wire.Slices // as last given, by slice
 	version int
 	peers   map[*peer]bool
 	address string
@@ -45,7 +46,7 @@
 
 // New returns an empty list that is not served.
 func New(book *trail.Trail) *List {
-	return &List{book: book, entries: map[string]wire.Entry{}, peers: map[*peer]bool{}, timers: map[*time.Timer]bool{}}
+	return &List{book: book, entries: map[string]wire.Entry{}, slices: map[int]wire.Slices{}, peers: map[*peer]bool{}, timers: map[*time.Timer]bool{}}
 }
 
 // Seal has the list served under TLS from its next start on.
@@ -150,10 +151,12 @@
 	}
 }
 
-// Give gives a slice into the charge of all that follow, or takes it away, as the store of a deployment with slices would.
+// Give gives a slice into the charge of all that follow or will, or takes it away, as the store of a deployment with
+// slices would.
 func (l *List) Give(x wire.Slices) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.slices[x.Slice] = x
 	for p := range l.peers {
 		l.push(p, &x)
 	}
@@ -202,6 +205,11 @@
 				whole.Entries = append(whole.Entries, l.entries[name])
 			}
 			l.push(p, whole)
+			for _, i := range slices.Sorted(maps.Keys(l.slices)) {
+				if x := l.slices[i]; x.Given {
+					l.push(p, &x)
+				}
+			}
 		}
 		l.mu.Unlock()
 	}
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -382,7 +382,7 @@
 	until := time.Now().Add(min(p.Limits[kind], time.Duration(req.LimitMs*float64(time.Millisecond))))
 	li.still.RLock() // a proxy that applies lines stands still
 	li.mu.Lock()
-	li.follow.Came(kind)
+	li.follow.Came(kind, req.Key)
 	admitted := li.follow.Admit(kind)
 	li.mu.Unlock()
 	li.still.RUnlock()
@@ -414,7 +414,7 @@
 		return &wire.Answer{Outcome: wire.Denied, ComeBackMs: comeBackMs}
 	}
 	li.mu.Lock()
-	li.follow.Unanswered(kind)
+	li.follow.Unanswered(kind, req.Key)
 	li.mu.Unlock()
 	return &wire.Answer{Outcome: wire.Errored}
 }
@@ -424,11 +424,11 @@
 	defer li.still.RUnlock()
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	name := li.follow.Pick(p.book.Now(), kind, tried)
+	name := li.follow.Pick(p.book.Now(), kind, req.Key, tried)
 	if name != "" {
 		li.follow.Sent(name)
 		// noted here: what picks and what counts as sent must not be parted by a message that is applied between
-		p.book.Add(trail.Event{What: trail.Send, Peer: name, Kind: req.Kind, Req: req.Name,
+		p.book.Add(trail.Event{What: trail.Send, Peer: name, Kind: req.Kind, Req: req.Name, Text: req.Key,
 			N: len(tried) + 1})
 	}
 	return name, li.follow.Again(kind)
@@ -457,7 +457,7 @@
 		li.conns[name] = pl
 	}
 	li.mu.Unlock()
-	a, err := pl.do(ctx, &wire.Req{Name: req.Name, Kind: req.Kind, From: p.Name, WorkMs: req.WorkMs,
+	a, err := pl.do(ctx, &wire.Req{Name: req.Name, Kind: req.Kind, Key: req.Key, From: p.Name, WorkMs: req.WorkMs,
 		LimitMs: float64(wait) / float64(time.Millisecond)})
 	good := err == nil && a.Outcome == wire.Fine
 	var load []wire.Figure
--- a/internal/standin/trail/trail.go
+++ b/internal/standin/trail/trail.go
@@ -25,12 +25,13 @@
 	Leave    What = "leave"    // its stream ended (Peer pilot)
 	Got      What = "message"  // orders arrived (Peer pilot, N lines, Value ms in the pilot's channel, Since when ordered)
 	Lines    What = "lines"    // lines to pick from changed (Kind, N)
-	Send     What = "send"     // a try left (Peer endpoint, Kind, Req, N try)
+	Send     What = "send"     // a try left (Peer endpoint, Kind, Req, Text key, N try)
 	Refuse   What = "refuse"   // a req was denied (Kind, Req, Text why)
 	Arrive   What = "arrive"   // a try came in (Peer proxy, Kind, Req, Value work ms)
 	Effect   What = "effect"   // a req took effect (Peer proxy, Kind, Req)
 	Fell     What = "fell"     // a cold endpoint was pushed over
 	Told     What = "told"     // the list told a pilot of an endpoint (Peer pilot, Text endpoint, Kind zone, N phase, Value age ms, -1 for the distant past)
+	Given    What = "given"    // the store gave a slice to an endpoint (Peer endpoint, N slice, Text its first key)
 	Cut      What = "cut"      // streams between two places stopped carrying (Text, Peer)
 	Mended   What = "mended"   // and carry again
 	Asked    What = "asked"    // a client asked (Kind, Req)
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -44,7 +44,7 @@
 	DrainGrace, BareFor, Cold, Fall time.Duration
 	ColdFrom, FallMultiple          float64
 
-	Proxies               int
+	Proxies, Slices       int // keys fall into so many slices; 0: a deployment without them
 	ByZone                bool
 	EjectsAfter, RetryHow int
 	FirstWait             float64
@@ -75,6 +75,7 @@
 
 	PeersListen string
 	Peers       map[string]string
+	PeersSecret string // file of keys that seal notes between pilots; needed where there are keys
 
 	IntakeLinesPerS               float64
 	IntakeStanding, IntakeSlowest int
@@ -181,6 +182,7 @@
 			Field{Name: "cold_from", Into: &c.ColdFrom, Least: 0.001, Most: 1},
 			Field{Name: "fall", Into: &c.Fall, Least: 0.05}, Field{Name: "fall_multiple", Into: &c.FallMultiple, Least: 1}),
 		block("proxies", Field{Name: "count", Into: &c.Proxies, Least: 1, Most: 65535},
+			Field{Name: "slices", Into: &c.Slices, Most: wire.EveryTable - 1},
 			Field{Name: "by_zone", Into: &c.ByZone}, Field{Name: "ejects_after", Into: &c.EjectsAfter},
 			Field{Name: "try_again", Into: &c.RetryHow, Most: 3}, Field{Name: "first_wait", Into: &c.FirstWait},
 			Field{Name: "admission", Into: &c.Admission, OneOf: []string{"share", "off"}},
@@ -237,7 +239,8 @@
 			Field{Name: "plain", Into: &p.Plain}),
 		block("list", Field{Name: "file", Into: &p.ListFile}, Field{Name: "address", Into: &p.ListAddress},
 			Field{Name: "silence", Into: &p.ListSilence, Least: 0.1}),
-		block("peers", Field{Name: "listen", Into: &p.PeersListen}, Field{Name: "addresses", Into: &p.Peers}),
+		block("peers", Field{Name: "listen", Into: &p.PeersListen}, Field{Name: "addresses", Into: &p.Peers},
+			Field{Name: "secret", Into: &p.PeersSecret}),
 		block("intake", Field{Name: "lines_per_s", Into: &p.IntakeLinesPerS},
 			Field{Name: "standing", Into: &p.IntakeStanding}, Field{Name: "slowest", Into: &p.IntakeSlowest, Least: 1, Most: 60},
 			Field{Name: "half", Into: &p.IntakeHalf, Least: 0.1}, Field{Name: "longest", Into: &p.IntakeLongest, Least: 1}),
@@ -277,6 +280,9 @@
 	if p.Plain == (p.Keys != keys.Files{}) {
 		say("keys: authority, certificate and private_key are wanted, or plain = true")
 	}
+	if !p.Plain && p.PeersListen != "" && p.PeersSecret == "" {
+		say("peers: with keys a secret is wanted, or plain = true")
+	}
 	for _, at := range []string{p.Listen, p.GRPC, p.Admin, p.PeersListen, p.ListAddress} {
 		if p.Plain && at != "" && !loopback(at) {
 			say("%s is no loopback address, and plain = true is for these only", at)
@@ -334,7 +340,7 @@
 		"kind_own_zone": list(c.Kinds, func(k ReqKind) any { return k.OwnZone }),
 		"kind_writes":   list(c.Kinds, func(k ReqKind) any { return k.Writes }),
 		"fields":        list(c.Fields, text), "rank": float64(rank), "instances": float64(c.Instances),
-		"proxy_count": float64(c.Proxies), "by_zone": c.ByZone, "discovery": discovery, "probing": c.Probing,
+		"proxy_count": float64(c.Proxies), "slices": float64(c.Slices), "by_zone": c.ByZone, "discovery": discovery, "probing": c.Probing,
 		"cross_zone": c.CrossZone, "admission": c.Admission, "pick": c.Pick, "ejects_after": float64(c.EjectsAfter),
 		"retry_default": float64(c.RetryHow), "first_wait": c.FirstWait, "lines_per_s": c.LinesPerS,
 		"backlog": c.Backlog, "head_lines": float64(c.HeadLines), "messages_most": float64(c.MessagesMost),
--- a/internal/wire/collapse.go
+++ b/internal/wire/collapse.go
@@ -26,14 +26,14 @@
 			k.number = o.Number
 		case OpBind:
 			k.table, k.kinds = o.Table, o.Kinds
-		case OpClear:
+		case OpClear, OpRange:
 			k.table = o.Table
 		}
 		if seen[k] || fresh[o.Table] && (o.Kind == OpSet || o.Kind == OpAdmit && o.Table != EveryTable || o.Kind == OpClear) {
 			continue
 		}
 		seen[k] = true
-		if o.Kind == OpBind || o.Kind == OpClear {
+		if o.Kind == OpBind || o.Kind == OpClear || o.Kind == OpRange {
 			fresh[o.Table] = true
 		}
 		kept = append(kept, o)
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -60,10 +60,12 @@
 }
 
 // Slices tells a pilot that the store has given a slice into its charge, with the lines stored of it, or taken it away.
+// Keys from From up to To, To not included, fall into it; an empty To has no end.
 type Slices struct {
-	Slice int
-	Given bool
-	Lines []HeldLine
+	Slice    int
+	Given    bool
+	Lines    []HeldLine
+	From, To string
 }
 
 // Met sums a proxy's tries at an endpoint; Load is the last load report among the answers.
@@ -128,6 +130,7 @@
 	OpWithdraw                   // shut an endpoint out (Out) or let it in
 	OpAdmit                      // set level and way of trying again for Kinds
 	OpMark                       // answer with Done
+	OpRange                      // keys From to To use Table, whose lines begin anew; Out: no longer
 )
 
 // Op is one line of Orders; which fields count depends on Kind.
@@ -141,6 +144,7 @@
 	Out      bool
 	Number   int
 	Keep     bool // OpBind: the lines that the proxy named in its hello stand, those that follow change them
+	From, To string
 }
 
 // ListAsk asks a list source: for changes from now on, or for the whole list once.
@@ -278,9 +282,21 @@
 	w.int(m.Slice)
 	w.flag(m.Given)
 	w.held(m.Lines)
+	w.text(m.From)
+	w.text(m.To)
+}
+
+func (m *Slices) get(r *reader) {
+	m.Slice, m.Given, m.Lines, m.From, m.To = r.count(), r.flag(), r.held(), r.text(), r.text()
+	checkRange(r, m.From, m.To)
 }
 
-func (m *Slices) get(r *reader) { m.Slice, m.Given, m.Lines = r.count(), r.flag(), r.held() }
+// checkRange refuses a range that holds no key.
+func checkRange(r *reader, from, to string) {
+	if to != "" && to <= from {
+		r.fail(ErrValue)
+	}
+}
 
 func (w *buffer) held(lines []HeldLine) {
 	w.uint(uint64(len(lines)))
@@ -374,6 +390,11 @@
 		w.int(o.Again)
 	case OpMark:
 		w.int(o.Number)
+	case OpRange:
+		w.int(o.Table)
+		w.text(o.From)
+		w.text(o.To)
+		w.flag(o.Out)
 	}
 }
 
@@ -392,6 +413,9 @@
 		o.Table, o.Kinds, o.Weight, o.Again = r.count(), r.count(), r.num(), r.count()
 	case OpMark:
 		o.Number = r.count()
+	case OpRange:
+		o.Table, o.From, o.To, o.Out = r.count(), r.text(), r.text(), r.flag()
+		checkRange(r, o.From, o.To)
 	default:
 		r.fail(ErrValue)
 	}
--- a/internal/wire/reqs.go
+++ b/internal/wire/reqs.go
@@ -5,6 +5,7 @@
 type Req struct {
 	Number, Name uint64
 	Kind, From   string
+	Key          string  // where a deployment has slices
 	WorkMs       float64 // that it will take on a core of speed 1
 	LimitMs      float64 // for which the asker waits
 }
@@ -41,11 +42,12 @@
 	w.text(m.From)
 	w.num(m.WorkMs)
 	w.num(m.LimitMs)
+	w.text(m.Key)
 }
 
 func (m *Req) get(r *reader) {
 	m.Number, m.Name, m.Kind, m.From = r.uint(), r.uint(), r.text(), r.text()
-	m.WorkMs, m.LimitMs = r.num(), r.num()
+	m.WorkMs, m.LimitMs, m.Key = r.num(), r.num(), r.text()
 }
 
 func (m *Answer) put(w *buffer) {
