--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"os"
 	"sync"
@@ -23,8 +22,9 @@
 	stop   context.CancelFunc
 	ended  chan error
 	files  map[string]*os.File
-	taken  chan error // the offer has ended
-	faults chan error // the pilot ended by itself
+	claim  *handover.Claimed // where a handover socket is told: nobody else serves meanwhile
+	taken  chan error        // the offer has ended
+	faults chan error        // the pilot ended by itself
 }
 
 // Begin starts a pilot; with takeOver it is taken over from the process that runs.
@@ -32,7 +32,14 @@
 	o.fill()
 	h := &Host{terms: t, outfit: o, faults: make(chan error, 1)}
 	if !takeOver {
+		if t.Handover != "" {
+			var err error
+			if h.claim, err = handover.GetClaim(t.Handover); err != nil {
+				return nil, err
+			}
+		}
 		if err := h.start(ctx); err != nil {
+			h.claim.LetGo()
 			return nil, err
 		}
 		h.offer(ctx)
@@ -45,20 +52,18 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := taking.Ready(); err != nil {
+	if h.claim, err = taking.Claim(); err != nil {
 		taking.Drop()
-		return nil, fmt.Errorf("take over: %w", err)
+		return nil, err
 	}
 	h.outfit.Listeners = taking.Listeners
-	if err := h.start(ctx); err != nil {
+	err = h.start(ctx)
+	if err != nil {
+		h.claim.LetGo() // before the old one hears of it
 		taking.Drop()
 		return nil, err
 	}
-	if err := taking.Serving(); err != nil { // the old one goes on; two may not
-		h.halt()
-		h.close()
-		return nil, fmt.Errorf("take over: %w", err)
-	}
+	taking.Started(true)
 	h.offer(ctx)
 	return h, nil
 }
@@ -113,7 +118,10 @@
 	if h.terms.Handover == "" {
 		return
 	}
-	o := handover.Offer{Files: h.files, Stop: h.halt, Resume: func() {
+	o := handover.Offer{Files: h.files, Stop: func() { h.halt(); h.letGo() }, Resume: func(claim *handover.Claimed) {
+		h.mu.Lock()
+		h.claim = claim
+		h.mu.Unlock()
 		h.outfit.Log.Warn("handover failed, going on")
 		h.outfit.Listeners = map[string]net.Listener{}
 		for name, f := range h.files {
@@ -167,4 +175,14 @@
 	}
 }
 
-func (h *Host) close() { closeFiles(h.files) }
+func (h *Host) close() {
+	closeFiles(h.files)
+	h.letGo()
+}
+
+// letGo gives up the claim to serve.
+func (h *Host) letGo() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.claim.LetGo()
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -1,9 +1,12 @@
 // Package handover passes a pilot's listeners from a running process to a new one over a Unix socket. The old process
-// stops its pilot before the new one begins, so never do two write to one proxy; it keeps the listeners and goes on by
-// itself if the new one does not say that it serves. State passes through the record, which the old one closes first.
+// stops its pilot before the new one begins. Who may serve follows from a claim, a lock that only one process can hold, so
+// never do two write to one proxy, whatever message is lost: the old one goes on by itself if the new one does not say that
+// it serves and the claim is free. What each side does next is decided by recovery.Old and recovery.New. State passes through
+// the record, which the old one closes first.
 package handover
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,6 +16,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"indigousher/recovery"
 )
 
 // The steps, each a line of JSON: the new one asks, the old one offers listeners, the new one is ready, the old one has
@@ -108,14 +113,25 @@
 // Offer is what the old process does.
 type Offer struct {
 	Files map[string]*os.File // listeners by name
-	// Stop ends the pilot, its streams and its record, and returns when nothing of it writes any more.
+	// Stop ends the pilot, its streams and its record, lets go of the claim, and returns when nothing of it writes any more.
 	Stop func()
-	// Resume starts the pilot again, on the same listeners.
-	Resume func()
+	// Resume starts the pilot again, on the same listeners, with the claim got anew.
+	Resume func(*Claimed)
+	// Patience is how often, 0.1 s apart, the claim is tried after the new process was lost; 0: a hundred times.
+	Patience int
+
+	path string
 }
 
+// Figures of getting the claim again.
+const (
+	claimEvery    = 100 * time.Millisecond
+	usualPatience = 100
+)
+
 // Serve answers those who want to take over, one at a time, until one has or ctx ends. It returns whether one has.
 func (o *Offer) Serve(ctx context.Context, path string) (bool, error) {
+	o.path = path
 	_ = os.Remove(path) // left by a process that was killed
 	l, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: path, Net: "unixpacket"})
 	if err != nil {
@@ -155,7 +171,7 @@
 				return
 			}
 			defer busy.Store(false)
-			if o.hand(c) == nil {
+			if o.hand(ctx, c) {
 				taken.Store(true)
 				cancel()
 			}
@@ -163,36 +179,70 @@
 	}
 }
 
-// hand goes through the steps with one that wants to take over.
-func (o *Offer) hand(c *net.UnixConn) error {
+// hand goes through the steps with one that wants to take over and returns whether it has.
+func (o *Offer) hand(ctx context.Context, c *net.UnixConn) bool {
+	m := recovery.Old{Patience: cmp.Or(o.Patience, usualPatience)}
+	e := recovery.Asked
 	if _, _, err := receive(c, stepTake); err != nil {
-		return err
+		return false
 	}
-	m := message{Step: stepOffer}
-	var files []*os.File
-	for name, f := range o.Files {
-		m.Names, files = append(m.Names, name), append(files, f)
+	for {
+		switch m.Next(e) {
+		case recovery.SayOffer:
+			e = o.ask(c, stepOffer, stepReady, recovery.ReadyCame)
+		case recovery.StopPilot:
+			o.Stop()
+			e = recovery.Stopped
+		case recovery.SayGo:
+			e = o.ask(c, stepGo, stepServing, recovery.ServingCame)
+		case recovery.Claim:
+			claim, err := GetClaim(o.path)
+			if e = recovery.Claimed; err != nil {
+				e = recovery.Refused
+				pause(ctx, claimEvery)
+				continue
+			}
+			m.Next(e)
+			o.Resume(claim)
+			return false
+		default:
+			return m.Gone()
+		}
 	}
-	if err := send(c, m, files); err != nil {
-		return err
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
 	}
-	if _, _, err := receive(c, stepReady); err != nil {
-		return err
+}
+
+// ask says one step, with the listeners if it is the offer, and waits for the answer.
+func (o *Offer) ask(c *net.UnixConn, say, want string, came recovery.Event) recovery.Event {
+	m := message{Step: say}
+	var files []*os.File
+	if say == stepOffer {
+		for name, f := range o.Files {
+			m.Names, files = append(m.Names, name), append(files, f)
+		}
 	}
-	o.Stop()
-	err := send(c, message{Step: stepGo}, nil)
-	if err == nil {
-		_, _, err = receive(c, stepServing)
+	if err := send(c, m, files); err != nil {
+		return recovery.Lost
 	}
-	if err != nil {
-		o.Resume()
+	if _, _, err := receive(c, want); err != nil {
+		return recovery.Lost
 	}
-	return err
+	return came
 }
 
 // Taking is what the new process has been offered.
 type Taking struct {
 	conn      *net.UnixConn
+	path      string
+	side      *recovery.New
 	Listeners map[string]net.Listener
 }
 
@@ -202,7 +252,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("take over: %w", err)
 	}
-	t := &Taking{conn: c, Listeners: map[string]net.Listener{}}
+	t := &Taking{conn: c, path: path, side: recovery.NewSide(), Listeners: map[string]net.Listener{}}
 	if err := send(c, message{Step: stepTake}, nil); err != nil {
 		return nil, errors.Join(err, c.Close())
 	}
@@ -225,18 +275,45 @@
 	return t, nil
 }
 
-// Ready says that all that can be checked is good, and returns when the old pilot has stopped.
-func (t *Taking) Ready() error {
-	if err := send(t.conn, message{Step: stepReady}, nil); err != nil {
-		return err
+// Claim says that all that can be checked is good, waits until the old pilot has stopped and takes the claim. If the old
+// process is lost instead, the claim tells whether it still serves.
+func (t *Taking) Claim() (*Claimed, error) {
+	e := recovery.Offered
+	var why error
+	for {
+		switch t.side.Next(e) {
+		case recovery.SayReady:
+			e = recovery.GoCame
+			if why = send(t.conn, message{Step: stepReady}, nil); why == nil {
+				_, _, why = receive(t.conn, stepGo)
+			}
+			if why != nil {
+				e = recovery.Lost
+			}
+		case recovery.Claim:
+			c, err := GetClaim(t.path)
+			if err == nil {
+				t.side.Next(recovery.Claimed)
+				return c, nil
+			}
+			e, why = recovery.Refused, errors.Join(why, err)
+		default:
+			return nil, fmt.Errorf("take over: %w", why)
+		}
 	}
-	_, _, err := receive(t.conn, stepGo)
-	return err
 }
 
-// Serving says that the new pilot serves; the old process ends.
-func (t *Taking) Serving() error {
-	return errors.Join(send(t.conn, message{Step: stepServing}, nil), t.conn.Close())
+// Started tells whether the pilot runs; if so the old process is told, and ends. That it can't be told changes nothing:
+// who holds the claim serves.
+func (t *Taking) Started(runs bool) {
+	e := recovery.Started
+	if !runs {
+		e = recovery.Failed
+	}
+	if t.side.Next(e) == recovery.SayServing {
+		_ = send(t.conn, message{Step: stepServing}, nil)
+	}
+	_ = t.conn.Close()
 }
 
 // Drop gives up; the old process goes on.
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -26,6 +26,8 @@
 	return x
 }
 
+const patience = 8
+
 // TestHandover takes every way that a handover can go: the old one stops only when the new one is ready, and goes on
 // whenever the new one does not come to serve.
 func TestHandover(t *testing.T) {
@@ -37,9 +39,19 @@
 	}{
 		{"all well", func(t *testing.T, path string) {
 			x := dialled(t, path)
-			require.NoError(t, x.Ready())
-			require.NoError(t, x.Serving())
+			c, err := x.Claim()
+			require.NoError(t, err)
+			defer c.LetGo()
+			x.Started(true)
+			x.Drop()
+		}, true, 1, 0},
+		{"it serves but can't say so", func(t *testing.T, path string) {
+			x := dialled(t, path)
+			c, err := x.Claim()
+			require.NoError(t, err)
 			x.Drop()
+			time.Sleep((patience + 4) * claimEvery)
+			c.LetGo()
 		}, true, 1, 0},
 		{"it gives up after the offer", func(t *testing.T, path string) {
 			x := dialled(t, path)
@@ -52,17 +64,23 @@
 		}, false, 1, 1},
 		{"it dies before it serves", func(t *testing.T, path string) {
 			x := dialled(t, path)
-			require.NoError(t, x.Ready())
+			c, err := x.Claim()
+			require.NoError(t, err)
 			x.Drop()
+			time.Sleep(3 * claimEvery) // the claim falls free when it is dead
+			c.LetGo()
+			time.Sleep(3 * claimEvery)
 		}, false, 1, 1},
 		{"a second one meanwhile", func(t *testing.T, path string) {
 			x := dialled(t, path)
 			_, err := Take(path)
 			assert.ErrorIs(t, err, ErrBusy)
-			require.NoError(t, x.Ready())
+			c, err := x.Claim()
+			require.NoError(t, err)
+			defer c.LetGo()
 			_, err = Take(path)
 			assert.ErrorIs(t, err, ErrBusy)
-			require.NoError(t, x.Serving())
+			x.Started(true)
 			x.Drop()
 		}, true, 1, 0},
 		{"noise", func(t *testing.T, path string) {
@@ -84,10 +102,15 @@
 			defer f.Close()
 			stops, resumes := 0, 0
 			path := filepath.Join(t.TempDir(), "handover.sock")
+			claim, err := GetClaim(path)
+			require.NoError(t, err)
+			_, err = GetClaim(path)
+			require.ErrorIs(t, err, ErrHeld)
 			ctx, cancel := context.WithCancel(t.Context())
 			taken := make(chan bool, 1)
 			go func() {
-				o := Offer{Files: map[string]*os.File{"streams": f}, Stop: func() { stops++ }, Resume: func() { resumes++ }}
+				o := Offer{Files: map[string]*os.File{"streams": f}, Patience: patience, Stop: func() { stops++; claim.LetGo() },
+					Resume: func(c *Claimed) { resumes++; c.LetGo() }}
 				ok, err := o.Serve(ctx, path)
 				assert.NoError(t, err)
 				taken <- ok
@@ -118,18 +141,20 @@
 	path := filepath.Join(t.TempDir(), "handover.sock")
 	done := make(chan bool, 1)
 	go func() {
-		o := Offer{Files: map[string]*os.File{"streams": f}, Stop: func() { l.Close() }, Resume: func() {}}
+		o := Offer{Files: map[string]*os.File{"streams": f}, Stop: func() { l.Close() }, Resume: func(*Claimed) {}}
 		ok, _ := o.Serve(t.Context(), path)
 		f.Close()
 		done <- ok
 	}()
 	require.Eventually(t, func() bool { _, err := os.Stat(path); return err == nil }, 5*time.Second, time.Millisecond)
 	x := dialled(t, path)
-	require.NoError(t, x.Ready())
+	claim, err := x.Claim()
+	require.NoError(t, err)
+	defer claim.LetGo()
 	c, err := net.Dial("tcp", address) // nobody accepts now
 	require.NoError(t, err)
 	defer c.Close()
-	require.NoError(t, x.Serving())
+	x.Started(true)
 	assert.True(t, <-done)
 	s, err := x.Listeners["streams"].Accept()
 	require.NoError(t, err)
