--- a/cmd/indigousher/records.go
+++ b/cmd/indigousher/records.go
@@ -38,8 +38,9 @@
 	var with, life string
 	c := &cobra.Command{Use: "replay DIR", Short: "Replay a pilot's record, against its own terms or others",
 		Long: "Against its own terms each turn must order what was recorded; the first difference is shown and ends it with status 1.\n" +
-			"Against others (--with) what is ordered stands beside it. The world's answers stay those of the recorded day: how\n" +
-			"endpoints and clients would have met other tables a replay can't know, so service is not estimated.",
+			"Against others (--with) what is ordered stands beside it. The world's answers stay those of the recorded day: each\n" +
+			"endpoint is held to fail and to take as it did then. The estimate for the own terms beside what was recorded shows\n" +
+			"how good that is; 'trusted' is the part of the tries that went where the record tells of a like load.",
 		Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
 			return withStore(args[0], func(s *record.Store) error { return replay(cmd.OutOrStdout(), s, life, with) })
 		}}
@@ -62,7 +63,7 @@
 		other = t.ForModule(t.Rank)
 	}
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "life\tterms\tspan\tturns\tnotes\tgaps\tmessages\tlines\tset\tremoved\tshut out\tlevels\tbinds\tmost waiting\ttables\ttook")
+	fmt.Fprintln(w, "life\tterms\tspan\tturns\tnotes\tgaps\tmessages\tlines\tset\tremoved\tshut out\tlevels\tbinds\tmost waiting\ttables\tfailed\testimated\tmean ms\testimated\ttrusted\ttook")
 	differs := false
 	for _, l := range lives {
 		if only != "" && l.ID != only {
@@ -83,8 +84,9 @@
 			if err != nil {
 				return errors.Join(w.Flush(), err)
 			}
-			fmt.Fprintf(w, "%s\t%s\t%.1f s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%016x\t%s\n", l.ID, x.name, r.SpanMs/1000, r.Turns,
+			fmt.Fprintf(w, "%s\t%s\t%.1f s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%016x\t%.4f\t%.4f\t%.1f\t%.1f\t%.2f\t%s\n", l.ID, x.name, r.SpanMs/1000, r.Turns,
 				r.Notes, r.Gaps, r.Messages, r.Lines, r.Sets, r.Zeros, r.Withdrawals, r.Levels, r.Binds, r.MostWaiting, r.Tables,
+				r.Estimate.Recorded, r.Estimate.Failed, r.Estimate.RecordedMs, r.Estimate.MeanMs, r.Estimate.Trusted,
 				time.Since(began).Round(time.Millisecond))
 			if r.FirstDiff != "" {
 				differs = true
--- a/internal/record/replay.go
+++ b/internal/record/replay.go
@@ -21,7 +21,8 @@
 	Sets, Zeros        int // lines set, and of these removed
 	Levels             int // levels below 1 that were set
 	Binds              int
-	MostWaiting        int    // lines in the channel
+	MostWaiting        int // lines in the channel
+	Estimate           Estimate
 	FirstDiff          string // where the replay first ordered otherwise than the record; "" for nowhere
 }
 
@@ -47,6 +48,7 @@
 	}
 	plan.Decider, plan.Terms = d, terms
 	core := pilot.NewCore(plan)
+	d.guess = newEstimator(core.Shares)
 	if l.After != "" {
 		turns, _, err := Tail(s, l.After)
 		if err != nil {
@@ -58,6 +60,7 @@
 		core.Recovered(plan)
 		*r = Result{}
 		core.Heard = 0
+		d.guess = newEstimator(core.Shares)
 	}
 	sent := crc64.New(table)
 	p := Player{Core: core, Sent: func(proxy string, o *wire.Orders) {
@@ -92,7 +95,7 @@
 		return nil
 	})
 	r.SpanMs += d.lastMs
-	r.Notes, r.Tables = core.Heard, sent.Sum64()
+	r.Notes, r.Tables, r.Estimate = core.Heard, sent.Sum64(), d.guess.result()
 	if errors.Is(err, ErrTorn) {
 		return r, fmt.Errorf("%s after %d turns: %w", l.ID, r.Turns, err)
 	}
@@ -115,9 +118,11 @@
 	r      *Result
 	digest uint64
 	lastMs float64
+	guess  *estimator
 }
 
 func (l *listener) Handle(nowMs float64, notes []brain.Note) []brain.Order {
+	l.guess.notes(notes) // by the tables that stand until now
 	orders := l.Decider.Handle(nowMs, notes)
 	l.digest = Digest(orders)
 	for _, o := range orders {
--- a/internal/rehearsal/record_test.go
+++ b/internal/rehearsal/record_test.go
@@ -56,6 +56,10 @@
 			assert.Empty(t, r.FirstDiff, l.ID)
 			assert.Positive(t, r.Sets)
 			assert.Greater(t, r.Turns, 5)
+			g := r.Estimate
+			assert.InDelta(t, g.Recorded, g.Failed, 0.05, "the estimate for the own terms, %+v", g)
+			assert.InEpsilon(t, g.RecordedMs, g.MeanMs, 0.25)
+			assert.Greater(t, g.Trusted, 0.5)
 			again, err := record.Replay(s, l, nil, module)
 			require.NoError(t, err)
 			assert.Equal(t, r, again, "a replay repeats itself")
