--- a/cmd/indigousher/rehearse.go
+++ b/cmd/indigousher/rehearse.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -15,8 +16,8 @@
 var errBroken = errors.New("a rule was broken")
 
 func rehearseCommand() *cobra.Command {
-	var list, baselines bool
-	var record, logLevel string
+	var list, baselines, processes bool
+	var record, records, logLevel string
 	var seed int
 	c := &cobra.Command{Use: "rehearse [DAY]", Short: "Play a day on loopback and check the five rules (the bad day if none is named)",
 		Args: cobra.MaximumNArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
@@ -44,6 +45,12 @@
 			play := rehearsal.Play{Day: day, Log: log, Say: func(format string, args ...any) {
 				fmt.Fprintf(out, format+"\n", args...)
 			}}
+			play.Records = records
+			if processes {
+				if play.Binary, err = os.Executable(); err != nil {
+					return err
+				}
+			}
 			var tables []rehearsal.Column
 			if baselines {
 				if tables, err = rehearsal.Baselines(cmd.Context(), play); err != nil {
@@ -70,6 +77,8 @@
 	c.Flags().BoolVar(&baselines, "baselines", false, "also play the day with standing tables only, and with one even table")
 	c.Flags().StringVar(&record, "record", "", "leave the trails in this folder, as JSON lines")
 	c.Flags().StringVar(&logLevel, "log", "error", "level of the pilots' log: debug, info, warn or error")
+	c.Flags().StringVar(&records, "pilot-records", "", "where pilots record on days on which they do; gone with the day if not told")
+	c.Flags().BoolVar(&processes, "processes", false, "pilots are processes of their own; a kill is signal 9")
 	c.Flags().IntVar(&seed, "seed", 0, "another seed than the day's")
 	return c
 }
--- a/internal/rehearsal/day.go
+++ b/internal/rehearsal/day.go
@@ -171,9 +171,7 @@
 
 func (d *Day) subs() []terms.Sub {
 	block := func(name string, fields ...terms.Field) terms.Sub {
-		return terms.Sub{Name: name, Most: 1, Read: func(_ []string, b *hclsyntax.Body) hcl.Diagnostics {
-			return terms.Read(b, fields, nil)
-		}}
+		return terms.Sub{Name: name, Most: 1, Fields: fields}
 	}
 	return []terms.Sub{
 		block("fleet", terms.Field{Name: "grpc", Into: &d.OverGRPC}, terms.Field{Name: "keys", Into: &d.Keys},
--- a/internal/rehearsal/stage.go
+++ b/internal/rehearsal/stage.go
@@ -46,6 +46,9 @@
 	Say    func(format string, args ...any) // progress
 	// Records is where pilots record on days that have them do so; a folder that goes with the day if it is empty.
 	Records string
+	// Binary, if told, is the program: pilots are then processes of their own, which a kill ends with signal 9. Their list,
+	// proxies and clients stay here; cuts between a pilot and the list are not played.
+	Binary string
 }
 
 // Outcome is what a day left.
@@ -87,6 +90,7 @@
 	h          *daemon.Host
 	cancel     context.CancelFunc
 	done       chan struct{}
+	process    *process // with Play.Binary
 }
 
 // Run plays the day and judges it.
@@ -212,8 +216,11 @@
 // startPilot begins a pilot's process, at the address of the first, or has a new one take over from it.
 func (s *stage) startPilot(st *seat, takeOver bool) error {
 	place := links.Place{Name: st.name, Zone: st.zone}
-	ctx, cancel := context.WithCancel(context.Background())
 	s.book.Trail(st.name).Add(trail.Event{What: trail.Start, Kind: "pilot", Text: st.zone})
+	if s.Binary != "" {
+		return s.startProcess(st, place)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
 	h, err := daemon.Begin(ctx, &st.terms, daemon.Outfit{Log: s.Log.Named(st.name), Dial: s.net.Dialer(place, 2*time.Second),
 		Decide: s.Decide}, takeOver)
 	if err != nil {
@@ -256,8 +263,14 @@
 func (s *stage) stopPilot(st *seat, force bool) {
 	st.mu.Lock()
 	h, cancel, done := st.h, st.cancel, st.done
-	st.h = nil
+	p := st.process
+	st.h, st.process = nil, nil
 	st.mu.Unlock()
+	if p != nil {
+		p.stop(force)
+		s.book.Trail(st.name).Add(trail.Event{What: trail.Stop})
+		return
+	}
 	if h == nil {
 		return
 	}
--- a/internal/terms/read.go
+++ b/internal/terms/read.go
@@ -25,11 +25,12 @@
 	Needed      bool
 }
 
-// Sub is a sort of block inside another; Read is called for each with its labels.
+// Sub is a sort of block inside another: it has Fields, or Read is called for each with its labels.
 type Sub struct {
 	Name   string
 	Labels int
 	Most   int // how many there may be; 0: any number
+	Fields []Field
 	Read   func(labels []string, body *hclsyntax.Body) hcl.Diagnostics
 }
 
@@ -85,6 +86,8 @@
 				diags = append(diags, complaint(b.TypeRange, "%q takes %d names", b.Type, s.Labels))
 			case s.Most > 0 && seen[s.Name] > s.Most:
 				diags = append(diags, complaint(b.TypeRange, "%q stands here once too often", b.Type))
+			case s.Read == nil:
+				diags = append(diags, Read(b.Body, s.Fields, nil)...)
 			default:
 				diags = append(diags, s.Read(b.Labels, b.Body)...)
 			}
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -165,11 +165,7 @@
 
 // Subs lists the blocks of the common part.
 func (c *Common) Subs() []Sub {
-	block := func(name string, fields ...Field) Sub {
-		return Sub{Name: name, Most: 1, Read: func(_ []string, b *hclsyntax.Body) hcl.Diagnostics {
-			return Read(b, fields, nil)
-		}}
-	}
+	block := func(name string, fields ...Field) Sub { return Sub{Name: name, Most: 1, Fields: fields} }
 	return []Sub{
 		{Name: "req_kind", Labels: 1, Most: 31, Read: c.readKind},
 		block("channel", Field{Name: "lines_per_s", Into: &c.LinesPerS, Least: 1},
@@ -196,15 +192,7 @@
 func (c *Common) readKind(labels []string, b *hclsyntax.Body) hcl.Diagnostics {
 	k := ReqKind{Name: labels[0], ResponseTarget: time.Second, ClientTimeout: 3 * time.Second, Payoff: 1,
 		Repeats: "replayable", Group: "all", Window: 5 * time.Second}
-	diags := Read(b, []Field{
-		{Name: "response_target", Into: &k.ResponseTarget, Least: 0.001},
-		{Name: "client_timeout", Into: &k.ClientTimeout, Least: 0.001},
-		{Name: "payoff", Into: &k.Payoff}, {Name: "late_payoff", Into: &k.LatePayoff, Most: 1},
-		{Name: "repeats", Into: &k.Repeats, OneOf: []string{"replayable", "uniqued", "non-replayable"}},
-		{Name: "group", Into: &k.Group, OneOf: []string{"all", "zone", "cell"}}, {Name: "window", Into: &k.Window},
-		{Name: "only_machines", Into: &k.OnlyMachines}, {Name: "only_zones", Into: &k.OnlyZones},
-		{Name: "own_zone", Into: &k.OwnZone}, {Name: "writes", Into: &k.Writes},
-	}, nil)
+	diags := Read(b, k.fields(), nil)
 	check := func(what string, list, known []string) {
 		for _, n := range list {
 			if !slices.Contains(known, n) {
@@ -221,12 +209,21 @@
 	return diags
 }
 
-func (p *Pilot) subs() []Sub {
-	block := func(name string, fields ...Field) Sub {
-		return Sub{Name: name, Most: 1, Read: func(_ []string, b *hclsyntax.Body) hcl.Diagnostics {
-			return Read(b, fields, nil)
-		}}
+// fields lists the attributes of a req kind.
+func (k *ReqKind) fields() []Field {
+	return []Field{
+		{Name: "response_target", Into: &k.ResponseTarget, Least: 0.001},
+		{Name: "client_timeout", Into: &k.ClientTimeout, Least: 0.001},
+		{Name: "payoff", Into: &k.Payoff}, {Name: "late_payoff", Into: &k.LatePayoff, Most: 1},
+		{Name: "repeats", Into: &k.Repeats, OneOf: []string{"replayable", "uniqued", "non-replayable"}},
+		{Name: "group", Into: &k.Group, OneOf: []string{"all", "zone", "cell"}}, {Name: "window", Into: &k.Window},
+		{Name: "only_machines", Into: &k.OnlyMachines}, {Name: "only_zones", Into: &k.OnlyZones},
+		{Name: "own_zone", Into: &k.OwnZone}, {Name: "writes", Into: &k.Writes},
 	}
+}
+
+func (p *Pilot) subs() []Sub {
+	block := func(name string, fields ...Field) Sub { return Sub{Name: name, Most: 1, Fields: fields} }
 	return []Sub{
 		block("pilot", Field{Name: "name", Into: &p.Name}, Field{Name: "zone", Into: &p.Zone},
 			Field{Name: "rank", Into: &p.Rank, Most: 65535}, Field{Name: "instances", Into: &p.Instances, Least: 1},
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -26,6 +26,18 @@
 keys { plain = true }
 `
 
+// TestText guards the way back: terms that were written are read as they were.
+func TestText(t *testing.T) {
+	p := Defaults()
+	p.Zones, p.Machines, p.Zone, p.ListAddress, p.Plain = []string{"a", "b"}, []string{"std"}, "b", "127.0.0.1:1", true
+	p.Peers, p.Rank, p.Instances = map[string]string{"0": "127.0.0.1:2"}, 1, 2
+	p.Kinds = []ReqKind{{Name: "book", Repeats: "uniqued", Group: "zone", OnlyZones: []string{"b"}, Writes: true,
+		ResponseTarget: 300 * time.Millisecond, ClientTimeout: time.Second, Payoff: 2.5, LatePayoff: 0.5, Window: time.Minute}}
+	back, err := Parse("text", p.Text())
+	require.NoError(t, err, "%s", p.Text())
+	assert.Equal(t, &p, back)
+}
+
 func TestComplaints(t *testing.T) {
 	for _, c := range []struct{ name, text, want string }{
 		{"not HCL", `zones = [`, "f.hcl:1:10"},
