--- a/cmd/indigousher/rehearse.go
+++ b/cmd/indigousher/rehearse.go
@@ -9,6 +9,7 @@
 
 	"github.com/spf13/cobra"
 
+	"indigousher/internal/day"
 	"indigousher/internal/rehearsal"
 )
 
@@ -29,7 +30,7 @@
 			if len(args) > 0 {
 				name = args[0]
 			}
-			day, err := rehearsal.Load(name)
+			day, err := day.Load(name)
 			if err != nil {
 				return err
 			}
@@ -84,8 +85,8 @@
 }
 
 func listDays(out io.Writer) error {
-	for _, n := range rehearsal.Days() {
-		d, err := rehearsal.Load(n)
+	for _, n := range day.Days() {
+		d, err := day.Load(n)
 		if err != nil {
 			return err
 		}
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 
 	"indigousher/internal/standin/trail"
 	"indigousher/internal/terms"
@@ -86,7 +87,9 @@
 
 // proxyState is what the trails show of a proxy.
 type proxyState struct {
+	name        string
 	zone, pilot string
+	empty       bool // some kind has no line
 	joined      float64
 	lines       map[string]int
 	bare        map[string]float64 // since when, by kind
@@ -130,10 +133,13 @@
 	lines    int
 }
 
-// auditor walks through the trails once.
-type auditor struct {
+// Auditor walks through the trails once, by time.
+type Auditor struct {
 	terms     *terms.Common
 	names     map[string]string // endpoints' trail names by address
+	addresses map[string][]string
+	service   *server
+	order     []*proxyState // by name
 	proxies   map[string]*proxyState
 	pilots    map[string]*pilotState
 	endpoints map[string]*endpointState
@@ -149,32 +155,60 @@
 
 // Judge gives the verdicts. Addresses maps an endpoint's address to its name in the trails.
 func Judge(events []trail.Event, t *terms.Common, addresses map[string]string) *Report {
-	a := &auditor{terms: t, names: addresses, proxies: map[string]*proxyState{}, pilots: map[string]*pilotState{},
+	a := New(t)
+	for address, name := range addresses {
+		a.Place(address, name)
+	}
+	for _, e := range events {
+		a.Take(e)
+	}
+	return a.Report()
+}
+
+// New returns an auditor that has seen nothing.
+func New(t *terms.Common) *Auditor {
+	a := &Auditor{terms: t, names: map[string]string{}, addresses: map[string][]string{}, service: newServer(t), proxies: map[string]*proxyState{}, pilots: map[string]*pilotState{},
 		endpoints: map[string]*endpointState{}, effects: map[string]map[uint64]int{}, cutZones: map[string]bool{},
 		dumb: map[string]bool{}, report: &Report{}}
 	for i := range a.report.Verdicts {
 		a.report.Verdicts[i].Rule = Rule(i)
 	}
-	for _, e := range events {
-		for a.tick+grid <= e.At {
-			a.tick += grid
-			a.lookBare()
-		}
-		a.take(e)
+	return a
+}
+
+// Place tells an endpoint's address and its name in the trails.
+func (a *Auditor) Place(address, name string) {
+	a.names[address] = name
+	a.addresses[name] = append(a.addresses[name], address)
+}
+
+// Take takes in the next event.
+func (a *Auditor) Take(e trail.Event) {
+	for a.tick+grid <= e.At {
+		a.tick += grid
+		a.lookBare()
 	}
+	a.service.take(e)
+	a.take(e)
+}
+
+// Report ends the audit.
+func (a *Auditor) Report() *Report {
 	a.lookChannels()
-	a.report.Service = Serve(events, t)
+	a.report.Service = a.service.Service
 	return a.report
 }
 
-func (a *auditor) proxy(name string) *proxyState {
+func (a *Auditor) proxy(name string) *proxyState {
 	if a.proxies[name] == nil {
-		a.proxies[name] = &proxyState{lines: map[string]int{}, bare: map[string]float64{}}
+		a.proxies[name] = &proxyState{name: name, lines: map[string]int{}, bare: map[string]float64{}}
+		a.order = append(a.order, a.proxies[name])
+		slices.SortFunc(a.order, func(x, y *proxyState) int { return strings.Compare(x.name, y.name) })
 	}
 	return a.proxies[name]
 }
 
-func (a *auditor) pilot(name string) *pilotState {
+func (a *Auditor) pilot(name string) *pilotState {
 	if a.pilots[name] == nil {
 		a.pilots[name] = &pilotState{told: map[string]*toldState{}, waits: map[int][]wait{}}
 	}
@@ -182,7 +216,7 @@
 }
 
 // take folds one event into the state and checks what it bears on.
-func (a *auditor) take(e trail.Event) {
+func (a *Auditor) take(e trail.Event) {
 	switch e.What {
 	case trail.Start:
 		a.start(e)
@@ -198,7 +232,7 @@
 	case trail.Leave:
 		a.proxy(e.Who).pilot = ""
 	case trail.Lines:
-		a.proxy(e.Who).lines[e.Kind] = e.N
+		a.proxy(e.Who).setLines(e, a.terms.Kinds)
 	case trail.Got:
 		a.message(e)
 	case trail.Send:
@@ -218,7 +252,7 @@
 	}
 }
 
-func (a *auditor) start(e trail.Event) {
+func (a *Auditor) start(e trail.Event) {
 	switch {
 	case e.Kind == "cold" || e.Kind == "warm": // an endpoint's; its address may once have been another's
 		a.endpoints[e.Who] = &endpointState{started: e.At, cold: e.Kind == "cold", capacity: e.Value}
@@ -234,7 +268,7 @@
 
 // joined returns a proxy's pilot while the stream between them carries. One that a cut holds up counts as left from
 // the cut on, as the pilot can do nothing there.
-func (a *auditor) joined(name string, p *proxyState) *pilotState {
+func (a *Auditor) joined(name string, p *proxyState) *pilotState {
 	if p.pilot == "" || a.dumb[name] || a.dumb[p.pilot] {
 		return nil
 	}
@@ -245,7 +279,7 @@
 	return pilot
 }
 
-func (a *auditor) message(e trail.Event) {
+func (a *Auditor) message(e trail.Event) {
 	p, pilot := a.proxy(e.Who), a.pilot(e.Peer)
 	p.orderAt = e.At - e.Value
 	p.messages = append(p.messages, e.At)
@@ -261,12 +295,29 @@
 	}
 }
 
+// setLines notes how many lines a kind has.
+func (p *proxyState) setLines(e trail.Event, kinds []terms.ReqKind) {
+	p.lines[e.Kind] = e.N
+	p.empty = false
+	for _, k := range kinds {
+		if p.lines[k.Name] == 0 {
+			p.empty = true
+		} else {
+			delete(p.bare, k.Name)
+		}
+	}
+}
+
 // lookBare checks rule 1 for every joined proxy.
-func (a *auditor) lookBare() {
+func (a *Auditor) lookBare() {
 	v := &a.report.Verdicts[NobodyBare]
 	limit := float64(a.terms.BareFor.Milliseconds())
-	for _, name := range slices.Sorted(maps.Keys(a.proxies)) {
-		p := a.proxies[name]
+	for _, p := range a.order {
+		if !p.empty {
+			v.Checked += len(a.terms.Kinds)
+			continue
+		}
+		name := p.name
 		pilot := a.joined(name, p)
 		for _, k := range a.terms.Kinds {
 			if pilot == nil || p.lines[k.Name] > 0 || !a.anyWarm(pilot, p.zone, k) {
@@ -284,7 +335,7 @@
 }
 
 // anyWarm returns whether a pilot's list shows a ready, warm endpoint open to a kind.
-func (a *auditor) anyWarm(p *pilotState, zone string, k terms.ReqKind) bool {
+func (a *Auditor) anyWarm(p *pilotState, zone string, k terms.ReqKind) bool {
 	for _, t := range p.told {
 		if t.phase == wire.PhaseReady && a.tick-t.started >= float64(a.terms.Cold.Milliseconds()) &&
 			(len(k.OnlyMachines) == 0 || slices.Contains(k.OnlyMachines, t.machine)) &&
@@ -295,7 +346,7 @@
 	return false
 }
 
-func (a *auditor) effect(e trail.Event) {
+func (a *Auditor) effect(e trail.Event) {
 	for _, k := range a.terms.Kinds {
 		if k.Name != e.Kind || k.Repeats == "replayable" {
 			continue
@@ -310,7 +361,7 @@
 }
 
 // send checks rule 3.
-func (a *auditor) send(e trail.Event) {
+func (a *Auditor) send(e trail.Event) {
 	v, p := &a.report.Verdicts[DrainsKept], a.proxy(e.Who)
 	v.Checked++
 	pilot := a.joined(e.Who, p)
@@ -330,7 +381,7 @@
 const slack = 4
 
 // arrive checks rule 4: the work sent within the span to an endpoint that is cold.
-func (a *auditor) arrive(e trail.Event) {
+func (a *Auditor) arrive(e trail.Event) {
 	ep := a.endpoints[e.Who]
 	age, cold := e.At-ep.started, float64(a.terms.Cold.Milliseconds())
 	if !ep.cold || age > cold {
@@ -359,20 +410,21 @@
 }
 
 // informed returns whether a proxy's pilot had the time to know of an endpoint's start.
-func (a *auditor) informed(e trail.Event, ep *endpointState) bool {
+func (a *Auditor) informed(e trail.Event, ep *endpointState) bool {
 	p := a.proxies[e.Peer]
 	if p == nil || p.pilot == "" {
 		return false
 	}
-	for address, t := range a.pilot(p.pilot).told {
-		if a.names[address] == e.Who && math.Abs(t.started-ep.started) < 1000 {
+	for _, address := range a.addresses[e.Who] {
+		t := a.pilot(p.pilot).told[address]
+		if t != nil && a.names[address] == e.Who && math.Abs(t.started-ep.started) < 1000 {
 			return p.orderAt >= t.startTold || e.At >= t.startTold+float64(a.terms.DrainGrace.Milliseconds())
 		}
 	}
 	return false
 }
 
-func (a *auditor) told(e trail.Event) {
+func (a *Auditor) told(e trail.Event) {
 	pilot := a.pilot(e.Peer)
 	if e.N < 0 { // a whole list begins: what it does not name again is gone
 		for _, t := range pilot.told {
@@ -410,7 +462,7 @@
 }
 
 // lookChannels checks rule 5 from when messages lay in each pilot's channel.
-func (a *auditor) lookChannels() {
+func (a *Auditor) lookChannels() {
 	v := &a.report.Verdicts[ShortQueue]
 	for _, name := range slices.Sorted(maps.Keys(a.pilots)) {
 		for _, waits := range a.pilots[name].waits {
--- a/internal/audit/service.go
+++ b/internal/audit/service.go
@@ -1,8 +1,6 @@
 package audit
 
 import (
-	"slices"
-
 	"indigousher/internal/standin/trail"
 	"indigousher/internal/terms"
 )
@@ -30,45 +28,58 @@
 	Late                  int
 }
 
-// Serve reckons the service from the clients' trails.
-func Serve(events []trail.Event, t *terms.Common) Service {
-	s := Service{Kinds: make([]Part, len(t.Kinds))}
-	asked := map[uint64]float64{}
-	for _, e := range events {
-		if e.What == trail.Asked {
-			asked[e.Req] = e.At
-		}
+// server reckons the service from what clients say.
+type server struct {
+	Service
+	terms *terms.Common
+	kinds map[string]int
+	asked map[uint64]float64 // and not answered yet
+}
+
+func newServer(t *terms.Common) *server {
+	s := &server{Service: Service{Kinds: make([]Part, len(t.Kinds))}, terms: t, kinds: map[string]int{}, asked: map[uint64]float64{}}
+	for i, k := range t.Kinds {
+		s.kinds[k.Name] = i
 	}
-	for _, e := range events {
-		if e.What != trail.Answered {
-			continue
-		}
-		k := slices.IndexFunc(t.Kinds, func(k terms.ReqKind) bool { return k.Name == e.Kind })
-		if k < 0 {
-			continue
-		}
-		kind, earned := t.Kinds[k], 0.0
-		switch e.Text {
-		case "done":
-			s.Done++
-			earned = kind.Payoff
-			if e.Value > float64(kind.ResponseTarget.Milliseconds()) {
-				s.Late++
-				earned *= kind.LatePayoff
-			}
-		case "denied":
-			s.Denied++
-		default:
-			s.Errored++
-		}
-		w := int(asked[e.Req] / WindowMs)
-		for len(s.Windows) <= w {
-			s.Windows = append(s.Windows, Part{})
-		}
-		for _, p := range []*Part{&s.All, &s.Windows[w], &s.Kinds[k]} {
-			p.Earned += earned
-			p.Asked += kind.Payoff
+	return s
+}
+
+func (s *server) take(e trail.Event) {
+	switch e.What {
+	case trail.Asked:
+		s.asked[e.Req] = e.At
+	case trail.Answered:
+		s.answered(e)
+	}
+}
+
+func (s *server) answered(e trail.Event) {
+	asked := s.asked[e.Req]
+	delete(s.asked, e.Req)
+	k, known := s.kinds[e.Kind]
+	if !known {
+		return
+	}
+	kind, earned := s.terms.Kinds[k], 0.0
+	switch e.Text {
+	case "done":
+		s.Done++
+		earned = kind.Payoff
+		if e.Value > float64(kind.ResponseTarget.Milliseconds()) {
+			s.Late++
+			earned *= kind.LatePayoff
 		}
+	case "denied":
+		s.Denied++
+	default:
+		s.Errored++
+	}
+	w := int(asked / WindowMs)
+	for len(s.Windows) <= w {
+		s.Windows = append(s.Windows, Part{})
+	}
+	for _, p := range []*Part{&s.All, &s.Windows[w], &s.Service.Kinds[k]} {
+		p.Earned += earned
+		p.Asked += kind.Payoff
 	}
-	return s
 }
--- a/internal/rehearsal/day.go
+++ b/internal/day/day.go
@@ -1,12 +1,14 @@
-// Package rehearsal plays a day on loopback sockets: it brings up stand-ins and pilots as a day file says, lets the
-// timed troubles happen, and has the audit judge the trails. It is no part of what ships beside the command.
-package rehearsal
+// Package day reads days: a fleet, what clients ask of it and the troubles that happen, in HCL. The rehearsal plays a day
+// on sockets, the emulator in virtual time.
+package day
 
 import (
 	"cmp"
 	"embed"
 	"fmt"
 	"io/fs"
+	"math"
+	"math/rand/v2"
 	"os"
 	"path"
 	"slices"
@@ -58,6 +60,9 @@
 	Troubles []Trouble
 }
 
+// KeysEach is how many keys fall into a slice, where a day has slices.
+const KeysEach = 50
+
 // Demand is what clients ask of a req kind.
 type Demand struct {
 	Kind  string
@@ -280,3 +285,47 @@
 	}
 	return Read(name, text)
 }
+
+// Chosen returns the names that a trouble strikes: those that match, or all; of these a part or a number, drawn.
+func (t Trouble) Chosen(names []string, rnd *rand.Rand) []string {
+	var fit []string
+	for _, n := range names {
+		match := len(t.Who) == 0
+		for _, pattern := range t.Who {
+			ok, err := path.Match(pattern, n)
+			match = match || err == nil && ok
+		}
+		if match {
+			fit = append(fit, n)
+		}
+	}
+	n := len(fit)
+	if t.Part > 0 {
+		n = int(math.Ceil(t.Part * float64(len(fit))))
+	}
+	if t.Count > 0 {
+		n = min(t.Count, len(fit))
+	}
+	if n < len(fit) {
+		rnd.Shuffle(len(fit), func(i, j int) { fit[i], fit[j] = fit[j], fit[i] })
+		fit = fit[:n]
+	}
+	return fit
+}
+
+// String tells a trouble in a line.
+func (t Trouble) String() string {
+	parts := []string{t.What}
+	if len(t.Who) > 0 {
+		parts = append(parts, strings.Join(t.Who, ","))
+	}
+	for _, p := range []string{t.Zone, t.Kind} {
+		if p != "" {
+			parts = append(parts, p)
+		}
+	}
+	if t.For > 0 {
+		parts = append(parts, "for "+t.For.String())
+	}
+	return strings.Join(parts, " ")
+}
--- a/internal/rehearsal/record_test.go
+++ b/internal/rehearsal/record_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"indigousher/brain"
+	"indigousher/internal/day"
 	"indigousher/internal/pilot"
 	"indigousher/internal/record"
 )
@@ -18,7 +19,7 @@
 // replay of each life orders the same, byte for byte.
 func TestRecordedDay(t *testing.T) {
 	t.Parallel()
-	day, err := Read("recorded.hcl", []byte(`like = "bad-day-short"
+	day, err := day.Read("recorded.hcl", []byte(`like = "bad-day-short"
 length = "13s"
 fleet { record = true }
 trouble "hang" {
@@ -72,7 +73,7 @@
 // twice.
 func TestHandovers(t *testing.T) {
 	t.Parallel()
-	day, err := Load("handover")
+	day, err := day.Load("handover")
 	require.NoError(t, err)
 	day.Length = 10_000_000_000
 	day.Troubles = day.Troubles[:1]
--- a/internal/rehearsal/show.go
+++ b/internal/rehearsal/show.go
@@ -8,6 +8,7 @@
 
 	"indigousher/brain"
 	"indigousher/internal/audit"
+	"indigousher/internal/day"
 	"indigousher/internal/pilot"
 )
 
@@ -18,7 +19,7 @@
 }
 
 // Print writes verdicts and service of one or more playings as tables.
-func Print(out io.Writer, d *Day, columns []Column) {
+func Print(out io.Writer, d *day.Day, columns []Column) {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "\nrule\tverdict\tlooked at\tnearest to the limit")
 	for _, v := range columns[0].Outcome.Report.Verdicts {
--- a/internal/rehearsal/slices.go
+++ b/internal/rehearsal/slices.go
@@ -1,15 +1,13 @@
 package rehearsal
 
 import (
+	"indigousher/internal/day"
 	"indigousher/internal/standin/client"
 	"indigousher/internal/standin/endpoint"
 	"indigousher/internal/standin/trail"
 	"indigousher/internal/wire"
 )
 
-// keysEach is how many keys fall into a slice.
-const keysEach = 50
-
 // dealSlices has the store give each slice to one endpoint, in turn.
 func (s *stage) dealSlices() {
 	for i := range s.Day.Slices {
@@ -20,7 +18,7 @@
 
 // give tells pilots what the store holds of a slice.
 func (s *stage) give(i int) {
-	x := wire.Slices{Slice: i, Given: true, From: client.Key(i * keysEach), To: client.Key((i + 1) * keysEach),
+	x := wire.Slices{Slice: i, Given: true, From: client.Key(i * day.KeysEach), To: client.Key((i + 1) * day.KeysEach),
 		Lines: []wire.HeldLine{{Endpoint: s.owners[i], Weight: 1}}}
 	s.own.Add(trail.Event{What: trail.Given, Peer: s.owners[i], N: i, Text: x.From})
 	s.list.Give(x)
--- a/internal/rehearsal/stage.go
+++ b/internal/rehearsal/stage.go
@@ -1,3 +1,5 @@
+// Package rehearsal plays a day on loopback sockets: it brings up stand-ins and pilots as a day file says, lets the
+// timed troubles happen, and has the audit judge the trails. It is no part of what ships beside the command.
 package rehearsal
 
 import (
@@ -12,7 +14,6 @@
 	"path"
 	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 
 	"indigousher/internal/audit"
 	"indigousher/internal/daemon"
+	"indigousher/internal/day"
 	"indigousher/internal/keys"
 	"indigousher/internal/pilot"
 	"indigousher/internal/standin/client"
@@ -39,7 +41,7 @@
 
 // Play is one playing of a day.
 type Play struct {
-	Day    *Day
+	Day    *day.Day
 	Decide Decide // nil: the module
 	Bare   bool   // no pilots: standing tables only
 	Log    *zap.Logger
@@ -197,7 +199,7 @@
 		}
 		t.Plain, t.Keys = false, f
 	}
-	if slices.ContainsFunc(s.Day.Troubles, func(x Trouble) bool { return x.What == "handover" }) {
+	if slices.ContainsFunc(s.Day.Troubles, func(x day.Trouble) bool { return x.What == "handover" }) {
 		t.Handover = filepath.Join(s.Records, st.name+".sock")
 	}
 	if s.Day.Record {
@@ -470,7 +472,7 @@
 func (s *stage) play(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	load := s.load()
+	load := client.Of(s.Day, s.rnd)
 	var addresses []string
 	for _, p := range s.proxies {
 		addresses = append(addresses, p.Address())
@@ -509,41 +511,6 @@
 	}
 }
 
-// load makes the clients' load of the day and of its troubles.
-func (s *stage) load() client.Load {
-	l := client.Load{Rate: s.Day.Rate, Over: s.Day.Length, Retries: s.Day.Retries, Backoff: s.Day.Backoff,
-		Seed: uint64(s.Day.Seed), Keys: s.Day.Slices * keysEach}
-	for _, x := range s.Day.Demands {
-		k := s.Day.Kinds[slices.Index(s.Day.KindNames(), x.Kind)]
-		l.Kinds = append(l.Kinds, client.Kind{Name: x.Kind, Share: x.Share, CV: x.CV, Timeout: k.ClientTimeout,
-			WorkMs: float64(x.Work) / float64(time.Millisecond), Replayable: k.Repeats != "non-replayable"})
-	}
-	for range s.Day.ProxyZones {
-		l.Weights = append(l.Weights, math.Exp(s.Day.Uneven*s.rnd.NormFloat64()))
-	}
-	for _, t := range s.Day.Troubles {
-		w := client.Swell{From: t.At, For: t.For, Times: t.Size}
-		switch t.What {
-		case "burst":
-		case "hot_caller":
-			w.Caller, w.Part, w.Times = 1, t.Part, 0
-		case "heavy_tail":
-			w.Heavy, w.Kind = t.Part, t.Kind
-		case "shift":
-			w.For, w.Part, w.Times = 0, t.Part, 0
-			for i, z := range s.Day.ProxyZones {
-				if z == t.Zone {
-					w.TowardsZone = append(w.TowardsZone, i)
-				}
-			}
-		default:
-			continue
-		}
-		l.Swells = append(l.Swells, w)
-	}
-	return l
-}
-
 // end stops all that runs; what a test started it leaves nothing of.
 func (s *stage) end() {
 	if s.keyDir != "" {
@@ -573,49 +540,9 @@
 	}
 }
 
-// chosen returns the names that a trouble strikes: those that match, or all; of these a part or a number, drawn from
-// the day's seed.
-func (s *stage) chosen(t Trouble, names []string) []string {
-	var fit []string
-	for _, n := range names {
-		match := len(t.Who) == 0
-		for _, pattern := range t.Who {
-			ok, err := path.Match(pattern, n)
-			match = match || err == nil && ok
-		}
-		if match {
-			fit = append(fit, n)
-		}
-	}
-	n := len(fit)
-	if t.Part > 0 {
-		n = int(math.Ceil(t.Part * float64(len(fit))))
-	}
-	if t.Count > 0 {
-		n = min(t.Count, len(fit))
-	}
-	if n < len(fit) {
-		s.mu.Lock()
-		s.rnd.Shuffle(len(fit), func(i, j int) { fit[i], fit[j] = fit[j], fit[i] })
-		s.mu.Unlock()
-		fit = fit[:n]
-	}
-	return fit
-}
-
-// String tells a trouble in a line.
-func (t Trouble) String() string {
-	parts := []string{t.What}
-	if len(t.Who) > 0 {
-		parts = append(parts, strings.Join(t.Who, ","))
-	}
-	for _, p := range []string{t.Zone, t.Kind} {
-		if p != "" {
-			parts = append(parts, p)
-		}
-	}
-	if t.For > 0 {
-		parts = append(parts, "for "+t.For.String())
-	}
-	return strings.Join(parts, " ")
+// chosen returns the names that a trouble strikes.
+func (s *stage) chosen(t day.Trouble, names []string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return t.Chosen(names, s.rnd)
 }
--- a/internal/rehearsal/strike.go
+++ b/internal/rehearsal/strike.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"indigousher/internal/day"
 	"indigousher/internal/standin/endpoint"
 	"indigousher/internal/standin/list"
 	"indigousher/internal/standin/proxy"
@@ -18,7 +19,7 @@
 )
 
 // strike plays one trouble from its beginning to its end.
-func (s *stage) strike(ctx context.Context, t Trouble) error {
+func (s *stage) strike(ctx context.Context, t day.Trouble) error {
 	switch t.What {
 	case "hang", "fast_errors", "class_fail", "handshake_slow", "answers_twice":
 		s.moods(ctx, t)
@@ -63,7 +64,7 @@
 	return errors.Join(errs...)
 }
 
-func (s *stage) endpointsOf(t Trouble) (struck []*endpoint.Endpoint) {
+func (s *stage) endpointsOf(t day.Trouble) (struck []*endpoint.Endpoint) {
 	s.mu.Lock()
 	var names []string
 	by := map[string]*endpoint.Endpoint{}
@@ -81,7 +82,7 @@
 }
 
 // moods plays what changes how endpoints answer.
-func (s *stage) moods(ctx context.Context, t Trouble) {
+func (s *stage) moods(ctx context.Context, t day.Trouble) {
 	struck := s.endpointsOf(t)
 	for _, e := range struck {
 		switch t.What {
@@ -104,7 +105,7 @@
 }
 
 // machine plays what happens to one endpoint's process.
-func (s *stage) machine(ctx context.Context, t Trouble, e *endpoint.Endpoint, i int) error {
+func (s *stage) machine(ctx context.Context, t day.Trouble, e *endpoint.Endpoint, i int) error {
 	late := s.Day.ListLate
 	switch t.What {
 	case "vanish":
@@ -161,7 +162,7 @@
 
 // successor starts a new machine beside one that goes.
 func (s *stage) successor(e *endpoint.Endpoint, late time.Duration) error {
-	group := slices.IndexFunc(s.Day.Groups, func(g Group) bool { return g.Zone == e.Zone && g.Machine == e.Machine })
+	group := slices.IndexFunc(s.Day.Groups, func(g day.Group) bool { return g.Zone == e.Zone && g.Machine == e.Machine })
 	name := e.Name + "-next"
 	if _, err := s.addEndpoint(name, group, true); err != nil {
 		return fmt.Errorf("replace %s: %w", e.Name, err)
@@ -171,7 +172,7 @@
 }
 
 // flap lets an endpoint fail and recover by turns, each of its own length.
-func (s *stage) flap(ctx context.Context, t Trouble, e *endpoint.Endpoint, i int) error {
+func (s *stage) flap(ctx context.Context, t day.Trouble, e *endpoint.Endpoint, i int) error {
 	until := time.Now().Add(t.For)
 	turn := t.Every + time.Duration(i)*t.Every/7
 	for ctx.Err() == nil && time.Now().Before(until) {
@@ -189,7 +190,7 @@
 }
 
 // zoneLoss takes a zone's endpoints, and with a size over a half its proxies and pilots.
-func (s *stage) zoneLoss(ctx context.Context, t Trouble) error {
+func (s *stage) zoneLoss(ctx context.Context, t day.Trouble) error {
 	struck := s.endpointsOf(t)
 	for _, e := range struck {
 		e.Kill()
@@ -227,7 +228,7 @@
 	return errors.Join(errs...)
 }
 
-func (s *stage) proxyTrouble(ctx context.Context, t Trouble) error {
+func (s *stage) proxyTrouble(ctx context.Context, t day.Trouble) error {
 	var names []string
 	by := map[string]*proxy.Proxy{}
 	for _, p := range s.proxies {
@@ -299,7 +300,7 @@
 	return nil
 }
 
-func (s *stage) pilotTrouble(ctx context.Context, t Trouble) error {
+func (s *stage) pilotTrouble(ctx context.Context, t day.Trouble) error {
 	var names []string
 	for _, st := range s.pilots {
 		names = append(names, st.name)
@@ -354,7 +355,7 @@
 }
 
 // reload hands a running pilot new terms: a channel of another pace, and a zone list that wants a restart.
-func (s *stage) reload(ctx context.Context, st *seat, t Trouble) error {
+func (s *stage) reload(ctx context.Context, st *seat, t day.Trouble) error {
 	st.mu.Lock()
 	h, now := st.h, st.terms
 	st.mu.Unlock()
--- a/internal/standin/client/client.go
+++ b/internal/standin/client/client.go
@@ -14,6 +14,7 @@
 
 	"gonum.org/v1/gonum/stat/distuv"
 
+	"indigousher/internal/day"
 	"indigousher/internal/standin/proxy"
 	"indigousher/internal/standin/trail"
 	"indigousher/internal/wire"
@@ -56,6 +57,41 @@
 	return at >= s.From && (s.For == 0 || at < s.From+s.For)
 }
 
+// Of makes the clients' load of a day and of its troubles. Callers' weights are drawn.
+func Of(d *day.Day, rnd *rand.Rand) Load {
+	l := Load{Rate: d.Rate, Over: d.Length, Retries: d.Retries, Backoff: d.Backoff, Seed: uint64(d.Seed),
+		Keys: d.Slices * day.KeysEach}
+	for _, x := range d.Demands {
+		k := d.Kinds[slices.Index(d.KindNames(), x.Kind)]
+		l.Kinds = append(l.Kinds, Kind{Name: x.Kind, Share: x.Share, CV: x.CV, Timeout: k.ClientTimeout,
+			WorkMs: float64(x.Work) / float64(time.Millisecond), Replayable: k.Repeats != "non-replayable"})
+	}
+	for range d.ProxyZones {
+		l.Weights = append(l.Weights, math.Exp(d.Uneven*rnd.NormFloat64()))
+	}
+	for _, t := range d.Troubles {
+		w := Swell{From: t.At, For: t.For, Times: t.Size}
+		switch t.What {
+		case "burst":
+		case "hot_caller":
+			w.Caller, w.Part, w.Times = 1, t.Part, 0
+		case "heavy_tail":
+			w.Heavy, w.Kind = t.Part, t.Kind
+		case "shift":
+			w.For, w.Part, w.Times = 0, t.Part, 0
+			for i, z := range d.ProxyZones {
+				if z == t.Zone {
+					w.TowardsZone = append(w.TowardsZone, i)
+				}
+			}
+		default:
+			continue
+		}
+		l.Swells = append(l.Swells, w)
+	}
+	return l
+}
+
 // Asked is one req drawn ahead.
 type Asked struct {
 	At     time.Duration
@@ -65,55 +101,105 @@
 	Key    string
 }
 
-// Draw draws the reqs of a day.
-func Draw(l Load) []Asked {
+// Source draws the reqs of a day one after another.
+type Source struct {
+	load   Load
+	rnd    *rand.Rand
+	gap    distuv.Exponential
+	peak   float64
+	at     float64 // s
+	kinds  []float64
+	works  []distuv.LogNormal
+	spread chooser // by the weights of no swell
+}
+
+// NewSource begins a day.
+func NewSource(l Load) *Source {
 	src := rand.NewPCG(l.Seed, 23)
-	rnd := rand.New(src)
-	var all []Asked
-	peak := l.Rate
-	for _, s := range l.Swells {
-		peak = math.Max(peak, l.Rate*s.Times)
-	}
-	gap := distuv.Exponential{Rate: peak, Src: src}
-	for at := 0.0; ; {
-		at += gap.Rand()
-		t := time.Duration(at * float64(time.Second))
-		if t >= l.Over {
-			return all
-		}
-		rate := l.Rate
-		weights := slices.Clone(l.Weights)
-		heavy, heavyKind, times := 0.0, "", 1.0
-		for _, s := range l.Swells {
-			if !s.covers(t) {
-				continue
-			}
-			switch {
-			case s.Heavy > 0:
-				heavy, heavyKind, times = s.Heavy, s.Kind, s.Times
-			case s.Caller > 0:
-				shift(weights, []int{s.Caller - 1}, s.Part)
-			case len(s.TowardsZone) > 0:
-				shift(weights, s.TowardsZone, s.Part)
-			case s.Times > 0:
-				rate *= s.Times
-			}
+	s := &Source{load: l, rnd: rand.New(src), peak: l.Rate, spread: newChooser(l.Weights)}
+	for _, w := range l.Swells {
+		s.peak = math.Max(s.peak, l.Rate*w.Times)
+	}
+	s.gap = distuv.Exponential{Rate: s.peak, Src: src}
+	for _, k := range l.Kinds {
+		sigma := math.Sqrt(math.Log(1 + k.CV*k.CV))
+		s.kinds = append(s.kinds, k.Share)
+		s.works = append(s.works, distuv.LogNormal{Mu: math.Log(k.WorkMs) - sigma*sigma/2, Sigma: sigma, Src: src})
+	}
+	return s
+}
+
+// Next returns the next req, or false at the day's end.
+func (s *Source) Next() (Asked, bool) {
+	for {
+		s.at += s.gap.Rand()
+		t := time.Duration(s.at * float64(time.Second))
+		if t >= s.load.Over {
+			return Asked{}, false
 		}
-		if rnd.Float64() >= rate/peak { // thinned from the peak's rate
-			continue
+		if a, taken := s.one(t); taken {
+			return a, true
 		}
-		a := Asked{At: t, Proxy: pick(rnd, weights), Kind: pickKind(rnd, l.Kinds)}
-		k := l.Kinds[a.Kind]
-		sigma := math.Sqrt(math.Log(1 + k.CV*k.CV))
-		a.WorkMs = distuv.LogNormal{Mu: math.Log(k.WorkMs) - sigma*sigma/2, Sigma: sigma, Src: src}.Rand()
-		if heavy > 0 && (heavyKind == "" || heavyKind == k.Name) && rnd.Float64() < heavy {
-			a.WorkMs *= times
+	}
+}
+
+// one draws a req at a time; the swells that cover it thin it out from the peak's rate, or change it.
+func (s *Source) one(t time.Duration) (a Asked, taken bool) {
+	rate, spread := s.load.Rate, s.spread
+	heavy, heavyKind, times := 0.0, "", 1.0
+	var weights []float64
+	for _, w := range s.load.Swells {
+		if !w.covers(t) {
+			continue
 		}
-		if l.Keys > 0 {
-			a.Key = Key(rnd.IntN(l.Keys))
+		switch {
+		case w.Heavy > 0:
+			heavy, heavyKind, times = w.Heavy, w.Kind, w.Times
+		case w.Caller > 0 || len(w.TowardsZone) > 0:
+			if weights == nil {
+				weights = slices.Clone(s.load.Weights)
+			}
+			to := w.TowardsZone
+			if w.Caller > 0 {
+				to = []int{w.Caller - 1}
+			}
+			shift(weights, to, w.Part)
+		case w.Times > 0:
+			rate *= w.Times
 		}
-		all = append(all, a)
 	}
+	if s.rnd.Float64() >= rate/s.peak {
+		return a, false
+	}
+	if weights != nil {
+		spread = newChooser(weights)
+	}
+	a = Asked{At: t, Proxy: spread.draw(s.rnd), Kind: pick(s.rnd, s.kinds)}
+	a.WorkMs = s.works[a.Kind].Rand()
+	if heavy > 0 && (heavyKind == "" || heavyKind == s.load.Kinds[a.Kind].Name) && s.rnd.Float64() < heavy {
+		a.WorkMs *= times
+	}
+	if s.load.Keys > 0 {
+		a.Key = Key(s.rnd.IntN(s.load.Keys))
+	}
+	return a, true
+}
+
+// chooser draws by weight.
+type chooser []float64 // sums up to each
+
+func newChooser(weights []float64) chooser {
+	c, sum := make(chooser, 0, len(weights)), 0.0
+	for _, w := range weights {
+		sum += w
+		c = append(c, sum)
+	}
+	return c
+}
+
+func (c chooser) draw(rnd *rand.Rand) int {
+	i, _ := slices.BinarySearch(c, rnd.Float64()*c[len(c)-1])
+	return min(i, len(c)-1)
 }
 
 // Key is a key by its number; their order is that of the numbers.
@@ -151,14 +237,6 @@
 	return len(weights) - 1
 }
 
-func pickKind(rnd *rand.Rand, kinds []Kind) int {
-	w := make([]float64, len(kinds))
-	for i, k := range kinds {
-		w[i] = k.Share
-	}
-	return pick(rnd, w)
-}
-
 // Crowd asks.
 type Crowd struct {
 	Load Load
@@ -180,7 +258,12 @@
 func (c *Crowd) Run(ctx context.Context) {
 	start := time.Now()
 	var wg sync.WaitGroup
-	for i, a := range Draw(c.Load) {
+	source := NewSource(c.Load)
+	for i := 0; ; i++ {
+		a, more := source.Next()
+		if !more {
+			break
+		}
 		if d := time.Until(start.Add(a.At)); d > 0 {
 			t := time.NewTimer(d)
 			select {
--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -72,16 +72,11 @@
 	served  float64
 	waiting int
 	inHand  int
-	sent    []arrival // work that came lately, while cold
+	push    Push
 	load    []wire.Figure
 	fallen  bool
 }
 
-type arrival struct {
-	at   time.Time
-	work float64
-}
-
 type job struct {
 	req   *wire.Req
 	reply func(*wire.Answer)
@@ -153,10 +148,7 @@
 
 // warmth returns the part of its full speed at a time.
 func (e *Endpoint) warmth(li *life, now time.Time) float64 {
-	if !li.cold || e.Cold <= 0 {
-		return 1
-	}
-	return math.Min(1, e.ColdFrom+(1-e.ColdFrom)*float64(now.Sub(li.since))/float64(e.Cold))
+	return e.Warmth(li.cold, now.Sub(li.since))
 }
 
 func (e *Endpoint) accept(li *life, l net.Listener) {
@@ -271,33 +263,16 @@
 
 // pushed notes work that comes to a cold process and returns whether it has fallen over.
 func (e *Endpoint) pushed(li *life, now time.Time, work float64) bool {
-	if li.fallen {
-		return true
-	}
-	if !li.cold || now.Sub(li.since) > e.Cold || e.FallMultiple <= 0 {
-		return false
-	}
-	li.sent = append(li.sent, arrival{now, work})
-	sum, budget := 0.0, 0.0
-	for len(li.sent) > 0 && now.Sub(li.sent[0].at) > e.Fall {
-		li.sent = li.sent[1:]
+	if li.fallen || !li.cold {
+		return li.fallen
 	}
-	for _, a := range li.sent {
-		sum += a.work
+	over, part := li.push.Over(&e.Model, now.Sub(li.since), work)
+	if li.fallen = over; over {
+		e.book.Add(trail.Event{What: trail.Fell, N: e.starts, Value: part})
 	}
-	capacity := e.warmth(li, now) * float64(e.Cores) * e.Speed
-	budget = e.FallMultiple * capacity * float64(e.Fall) / float64(time.Millisecond)
-	if sum > budget+Slack*work {
-		li.fallen = true
-		e.book.Add(trail.Event{What: trail.Fell, N: e.starts, Value: sum / budget})
-	}
-	return li.fallen
+	return over
 }
 
-// Slack is how many reqs of the size at hand a cold endpoint's budget is exceeded by before it falls: chance alone
-// brings a few together.
-const Slack = 4
-
 // core does one core's work.
 func (e *Endpoint) core(li *life) {
 	for {
--- a/internal/standin/follow/follow.go
+++ b/internal/standin/follow/follow.go
@@ -27,6 +27,14 @@
 	lines  map[string]float64
 	levels map[int]level // by mask of kinds
 	turn   map[string]float64
+	ready  *lineup // of lines that may be picked, while nothing changes
+}
+
+// lineup is lines in order with their weights.
+type lineup struct {
+	names   []string
+	weights []float64
+	sum     float64
 }
 
 type level struct {
@@ -65,6 +73,7 @@
 	busy       map[string]int // reqs at each endpoint
 	bad        map[string]int // failures in a row
 	shunned    map[string]float64
+	shuns      float64 // until when any endpoint is shunned
 	met        map[string]*tally
 	came       map[string]*wire.Demand
 	sinceMs    float64
@@ -96,6 +105,7 @@
 
 // Joined begins a new stream: tables stay as they are until they are bound anew, numbers of the old are forgotten.
 func (f *Follower) Joined() {
+	defer f.changed()
 	f.before, f.tables, f.seq = f.tables, map[int]*held{}, 0
 	maps.Copy(f.outBefore, f.out)
 	f.out, f.everywhere = map[string]bool{}, map[int]level{}
@@ -140,6 +150,7 @@
 
 // Apply carries out one message as a whole and returns the marks to answer.
 func (f *Follower) Apply(ops []wire.Op) (marks []int) {
+	defer f.changed()
 	for _, o := range ops {
 		switch o.Kind {
 		case wire.OpBind:
@@ -285,6 +296,9 @@
 // Pick draws a line for a kind and key, none of those tried before if there is another. Where none is left it returns "".
 func (f *Follower) Pick(nowMs float64, kind int, key string, tried []string) string {
 	t := f.serving(kind, key)
+	if len(tried) == 0 && f.shuns <= nowMs && len(f.outBefore) == 0 && f.habits.Pick == "weighted" {
+		return f.lineup(kind, t).draw(f.rnd)
+	}
 	var names []string
 	for pass := 0; pass < 3 && len(names) == 0; pass++ { // then with the shunned, then with those tried
 		for name := range t.lines {
@@ -311,6 +325,44 @@
 	return f.draw(t, names)
 }
 
+// changed drops the lineups.
+func (f *Follower) changed() {
+	for _, t := range f.tables {
+		t.ready = nil
+	}
+	for _, t := range f.serves {
+		t.ready = nil
+	}
+}
+
+// lineup returns the lines that may be picked for a kind.
+func (f *Follower) lineup(kind int, t *held) *lineup {
+	if t.ready != nil {
+		return t.ready
+	}
+	t.ready = &lineup{}
+	for _, name := range slices.Sorted(maps.Keys(t.lines)) {
+		if f.open(kind, name) {
+			t.ready.names, t.ready.weights = append(t.ready.names, name), append(t.ready.weights, t.lines[name])
+			t.ready.sum += t.lines[name]
+		}
+	}
+	return t.ready
+}
+
+func (l *lineup) draw(rnd *rand.Rand) string {
+	if len(l.names) == 0 {
+		return ""
+	}
+	at := rnd.Float64() * l.sum
+	for i, w := range l.weights {
+		if at -= w; at < 0 {
+			return l.names[i]
+		}
+	}
+	return l.names[len(l.names)-1]
+}
+
 func (f *Follower) draw(t *held, names []string) string {
 	sum := 0.0
 	for _, n := range names {
@@ -361,7 +413,7 @@
 	}
 	t.met.Failed++
 	if f.bad[name]++; f.habits.EjectsAfter > 0 && f.bad[name] >= f.habits.EjectsAfter {
-		f.bad[name], f.shunned[name] = 0, nowMs+f.habits.EjectMs
+		f.bad[name], f.shunned[name], f.shuns = 0, nowMs+f.habits.EjectMs, nowMs+f.habits.EjectMs
 	}
 }
 
