--- a/internal/day/day.go
+++ b/internal/day/day.go
@@ -42,6 +42,7 @@
 	Beat         time.Duration
 	WriteWithin  time.Duration
 	NoisyReports float64
+	Way          time.Duration // one way between two places (emulator)
 
 	IntakeLinesPerS float64
 	IntakeStanding  int
@@ -78,6 +79,8 @@
 	Speed, Spread float64
 	Queue, Conns  int
 	Handshake     time.Duration
+	Discipline    string  // queue, or sharing: all in hand share the cores (emulator)
+	Thrash        float64 // part by which each req beyond the cores slows all (emulator)
 }
 
 // Trouble is something that happens.
@@ -99,7 +102,7 @@
 var whats = []string{"hang", "fast_errors", "class_fail", "vanish", "crash", "restart", "drain", "preempt", "replace",
 	"flapping", "zone_cut", "zone_loss", "slow_link", "handshake_slow", "proxy_crash", "proxy_roll", "pilot_kill",
 	"pilot_roll", "reconnect", "counter_down", "burst", "hot_caller", "heavy_tail", "shift", "list_down", "list_all",
-	"reload", "mute_proxy", "report_burst", "answers_twice", "silent", "handover", "slice_move"}
+	"reload", "mute_proxy", "report_burst", "answers_twice", "silent", "handover", "slice_move", "pause", "pilot_pause"}
 
 // Read reads and checks a day file.
 func Read(name string, text []byte) (*Day, error) {
@@ -109,7 +112,7 @@
 	}
 	d := &Day{Common: terms.CommonDefaults(), Name: strings.TrimSuffix(path.Base(name), ".hcl"), Length: 40 * time.Second,
 		Seed: 1, Times: 1, Standing: 4, Redial: 300 * time.Millisecond, Apply: 20 * time.Microsecond, EjectFor: 3 * time.Second,
-		Beat: 300 * time.Millisecond, WriteWithin: 800 * time.Millisecond, NoisyReports: 0.08,
+		Beat: 300 * time.Millisecond, WriteWithin: 800 * time.Millisecond, NoisyReports: 0.08, Way: 100 * time.Microsecond,
 		IntakeLinesPerS: 20_000, IntakeStanding: 10_000, ListLate: 700 * time.Millisecond, Rate: 100, Backoff: 100 * time.Millisecond, Uneven: 0.5}
 	d.Fall, d.Cold = time.Second, 8*time.Second
 	if diags = d.inherit(body); diags.HasErrors() {
@@ -181,13 +184,13 @@
 	return []terms.Sub{
 		block("fleet", terms.Field{Name: "grpc", Into: &d.OverGRPC}, terms.Field{Name: "keys", Into: &d.Keys},
 			terms.Field{Name: "record", Into: &d.Record},
-			terms.Field{Name: "times", Into: &d.Times, Least: 1, Most: 1000},
+			terms.Field{Name: "times", Into: &d.Times, Least: 1, Most: 100000},
 			terms.Field{Name: "pilots", Into: &d.PilotZones}, terms.Field{Name: "proxies", Into: &d.ProxyZones},
 			terms.Field{Name: "standing", Into: &d.Standing}, terms.Field{Name: "redial", Into: &d.Redial},
 			terms.Field{Name: "apply", Into: &d.Apply}, terms.Field{Name: "eject_for", Into: &d.EjectFor},
 			terms.Field{Name: "beat", Into: &d.Beat, Least: 0.02},
 			terms.Field{Name: "write_within", Into: &d.WriteWithin, Least: 0.05},
-			terms.Field{Name: "report_noise", Into: &d.NoisyReports}),
+			terms.Field{Name: "report_noise", Into: &d.NoisyReports}, terms.Field{Name: "way", Into: &d.Way}),
 		block("intake", terms.Field{Name: "lines_per_s", Into: &d.IntakeLinesPerS},
 			terms.Field{Name: "standing", Into: &d.IntakeStanding}, terms.Field{Name: "heedless", Into: &d.Heedless}),
 		block("list", terms.Field{Name: "late", Into: &d.ListLate}, terms.Field{Name: "empty", Into: &d.ListEmpty}),
@@ -201,12 +204,13 @@
 			return diags
 		}},
 		{Name: "endpoints", Labels: 1, Read: func(l []string, b *hclsyntax.Body) hcl.Diagnostics {
-			g := Group{Machine: l[0], Count: 1, Cores: 2, Speed: 1, Queue: 20, Conns: 500}
+			g := Group{Machine: l[0], Count: 1, Cores: 2, Speed: 1, Queue: 20, Conns: 500, Discipline: "queue"}
 			diags := terms.Read(b, []terms.Field{{Name: "zone", Into: &g.Zone, Needed: true, OneOf: d.Zones},
-				{Name: "count", Into: &g.Count, Least: 1, Most: 1000}, {Name: "cores", Into: &g.Cores, Least: 1, Most: 64},
+				{Name: "count", Into: &g.Count, Least: 1, Most: 20000}, {Name: "cores", Into: &g.Cores, Least: 1, Most: 64},
 				{Name: "speed", Into: &g.Speed, Least: 0.01}, {Name: "spread", Into: &g.Spread, Most: 0.9},
 				{Name: "queue", Into: &g.Queue}, {Name: "conns", Into: &g.Conns, Least: 1},
-				{Name: "handshake", Into: &g.Handshake}}, nil)
+				{Name: "handshake", Into: &g.Handshake}, {Name: "thrash", Into: &g.Thrash, Most: 1},
+				{Name: "discipline", Into: &g.Discipline, OneOf: []string{"queue", "sharing"}}}, nil)
 			d.Groups = append(d.Groups, g)
 			return diags
 		}},
--- /dev/null
+++ b/internal/emulator/emulator_test.go
@@ -0,0 +1,228 @@
+package emulator
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"indigousher/internal/audit"
+	"indigousher/internal/day"
+	"indigousher/internal/standin/trail"
+)
+
+// TestClock guards the one order of events: by time, those of one moment as they were asked for.
+func TestClock(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := &Clock{}
+		var got, want []string
+		times := rapid.SliceOfN(rapid.IntRange(0, 9), 1, 200).Draw(rt, "times")
+		for at := range 10 {
+			for i, x := range times {
+				if x == at {
+					want = append(want, fmt.Sprint(at, " ", i))
+				}
+			}
+		}
+		for i, x := range times {
+			c.At(float64(x), func() { got = append(got, fmt.Sprint(c.Now(), " ", i)) })
+		}
+		c.Until(9)
+		assert.Equal(rt, want, got)
+	})
+}
+
+// TestDays plays every day that ships: the rules hold, drains and lists are looked at in truth, and the same day gives
+// the same events twice.
+func TestDays(t *testing.T) {
+	for _, name := range day.Days() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d, err := day.Load(name)
+			require.NoError(t, err)
+			o, err := Play{Day: d, Judged: true}.Run(t.Context())
+			require.NoError(t, err)
+			for _, v := range o.Report.Verdicts {
+				assert.True(t, v.Kept(), "%s: %v", v.Rule, v.Breaches)
+			}
+			assert.Positive(t, o.Report.Verdicts[audit.DrainsKept].Checked)
+			assert.Greater(t, o.Report.Service.All.Share(), 0.8)
+			again, err := Play{Day: d, Judged: true}.Run(t.Context())
+			require.NoError(t, err)
+			assert.Equal(t, o.Digest, again.Digest)
+			t.Logf("%.3f, %d events", o.Report.Service.All.Share(), o.Done)
+		})
+	}
+}
+
+// TestToldInTime guards against a list that pilots do not hear of, as once here: all rules hold where nothing is told.
+func TestToldInTime(t *testing.T) {
+	d, err := day.Load("replacement")
+	require.NoError(t, err)
+	o, err := Play{Day: d, Keep: true}.Run(t.Context())
+	require.NoError(t, err)
+	told := 0
+	for _, e := range o.Events {
+		if e.What == trail.Told && e.At > 5000 {
+			told++
+		}
+	}
+	assert.Greater(t, told, 40)
+}
+
+// one is a fleet of endpoints alike behind one proxy that has a line to each, and no pilot.
+func one(endpoints, cores, queue int, discipline string, rate, workMs, cv float64, length time.Duration, pick string) *day.Day {
+	d, err := day.Read("one.hcl", []byte(fmt.Sprintf(`zones = ["a"]
+machines = ["std"]
+length = "%ds"
+req_kind "read" {
+  response_target = "600s"
+  client_timeout = "600s"
+}
+demand "read" {
+  work = "%gms"
+  cv   = %g
+}
+fleet {
+  proxies  = ["a"]
+  standing = %d
+  way      = "1ns"
+}
+proxies { pick = %q }
+clients { rate = %g }
+endpoints "std" {
+  zone = "a"
+  count = %d
+  cores = %d
+  queue = %d
+  conns = 100000
+  discipline = %q
+}
+`, int(length.Seconds()), workMs, cv, endpoints, pick, rate, endpoints, cores, queue, discipline)))
+	if err != nil {
+		panic(err) // the text above is wrong
+	}
+	return d
+}
+
+// TestClosedForms holds means against queueing theory: waiting by Erlang C and by Pollaczek-Khinchine, loss by Erlang B,
+// sharing, Little's law, and two choices beside one.
+func TestClosedForms(t *testing.T) {
+	mean := func(t *testing.T, d *day.Day) (took, lost float64) {
+		var means, losses []float64
+		for seed := range 8 {
+			d.Seed = seed + 1
+			o, err := Play{Day: d, Bare: true}.Run(t.Context())
+			require.NoError(t, err)
+			means = append(means, o.Latency.Mean()/1000)
+			losses = append(losses, 1-float64(o.Latency.TotalCount())/float64(o.Reqs))
+		}
+		return avg(means), avg(losses)
+	}
+	// work is lognormal: with a variation of 1 the mean of one server's queue follows Pollaczek-Khinchine as M/M/1's does
+	for _, c := range []struct {
+		name             string
+		cores            int
+		discipline       string
+		rate, workMs, cv float64
+		queue            int
+		want             float64 // mean ms in the system
+		within           float64
+	}{
+		{"M/G/1 with a variation of 1, as M/M/1", 1, "queue", 50, 10, 1, 1e6, 10 / (1 - 0.5), 0.05},
+		{"M/G/1 with little variation", 1, "queue", 70, 10, 0.3, 1e6, 10 + 0.7*10*(1+0.09)/(2*0.3), 0.05},
+		{"M/G/1 with much", 1, "queue", 50, 10, 2, 1e6, 10 + 0.5*10*(1+4)/(2*0.5), 0.12},
+		{"M/G/c, by Erlang C and the usual correction", 4, "queue", 280, 10, 1, 1e6, 10 + erlangC(4, 2.8)*10/(4-2.8), 0.05},
+		{"sharing, whatever the variation", 1, "sharing", 60, 10, 2, 1e6, 10 / (1 - 0.6), 0.08},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			got, _ := mean(t, one(1, c.cores, c.queue, c.discipline, c.rate, c.workMs, c.cv, 200*time.Second, "weighted"))
+			t.Logf("%.2f ms, %.2f by theory", got, c.want)
+			assert.InEpsilon(t, c.want, got, c.within)
+		})
+	}
+	t.Run("M/G/c/c loses by Erlang B, whatever the variation", func(t *testing.T) {
+		t.Parallel()
+		_, lost := mean(t, one(1, 4, 0, "queue", 300, 10, 1, 100*time.Second, "weighted"))
+		t.Logf("%.4f, %.4f by theory", lost, erlangB(4, 3))
+		assert.InEpsilon(t, erlangB(4, 3), lost, 0.05)
+	})
+	t.Run("two choices beside one", func(t *testing.T) {
+		t.Parallel()
+		single, _ := mean(t, one(50, 1, 1e6, "queue", 4500, 10, 1, 10*time.Second, "weighted"))
+		two, _ := mean(t, one(50, 1, 1e6, "queue", 4500, 10, 1, 10*time.Second, "two"))
+		want := 0.0 // mean time with two choices among many: the sum over i of rho^(2^i-2), by Mitzenmacher
+		for i := 1; i < 30; i++ {
+			want += math.Pow(0.9, math.Pow(2, float64(i))-2)
+		}
+		t.Logf("one choice %.1f ms, two %.1f; by theory for endless many %.1f and %.1f", single, two, 10/(1-0.9), 10*want)
+		assert.InEpsilon(t, 10*want, two, 0.15)
+		assert.Greater(t, single, 2*two)
+	})
+}
+
+func avg(list []float64) float64 {
+	sum := 0.0
+	for _, x := range list {
+		sum += x
+	}
+	return sum / float64(len(list))
+}
+
+func erlangB(c int, load float64) float64 {
+	b := 1.0
+	for i := 1; i <= c; i++ {
+		b = load * b / (float64(i) + load*b)
+	}
+	return b
+}
+
+func erlangC(c int, load float64) float64 {
+	b := erlangB(c, load)
+	return b / (1 - load/float64(c)*(1-b))
+}
+
+// BenchmarkEmulator measures events a second beside a plain loop over the same number of events.
+func BenchmarkEmulator(b *testing.B) {
+	for _, times := range []int{1, 10, 100} {
+		b.Run(fmt.Sprintf("proxies=%d", 6*times), func(b *testing.B) {
+			d, err := day.Load("quiet")
+			require.NoError(b, err)
+			var all []string
+			for range times {
+				all = append(all, d.ProxyZones...)
+			}
+			d.ProxyZones, d.Proxies, d.Rate = all, len(all), d.Rate*float64(times)
+			for i := range d.Groups {
+				d.Groups[i].Count *= times
+			}
+			var events, reqs uint64
+			for b.Loop() {
+				o, err := Play{Day: d}.Run(b.Context())
+				require.NoError(b, err)
+				events, reqs = events+o.Done, reqs+o.Reqs
+			}
+			took := b.Elapsed().Seconds()
+			b.ReportMetric(float64(events)/took, "events/s")
+			b.ReportMetric(float64(reqs)/took, "reqs/s")
+			began := time.Now()
+			c, n := &Clock{}, uint64(0)
+			var next func()
+			next = func() {
+				if n++; n < events {
+					c.After(float64(n%17), next)
+				}
+			}
+			for range 1000 {
+				c.After(0, next)
+			}
+			c.Until(math.Inf(1))
+			b.ReportMetric(float64(c.Events)/time.Since(began).Seconds(), "plain-events/s")
+		})
+	}
+}
--- /dev/null
+++ b/internal/emulator/trace.go
@@ -0,0 +1,6 @@
+package emulator
+
+// Tracer follows decisions.
+type Tracer struct{}
+
+func (*Tracer) began(*seat) {}
--- a/internal/pilot/channel.go
+++ b/internal/pilot/channel.go
@@ -38,6 +38,7 @@
 	lastDue  float64
 	MostSeen int // the most lines that have waited
 	Crowded  int // the most messages to one proxy within the span
+	Sent     int // lines, all in all
 }
 
 // NewChannel returns an empty channel. linesPerS of 0 leaves it unpaced.
@@ -122,6 +123,7 @@
 		n++
 		c.lines -= it.message.Lines
 		lines += it.message.Lines
+		c.Sent += it.message.Lines
 		it.message.AtMs, it.message.AgeMs = it.atMs, nowMs-it.atMs
 		it.to.recent = append(within(it.to.recent, nowMs, c.overMs), nowMs)
 		c.Crowded = max(c.Crowded, len(it.to.recent))
--- a/internal/standin/follow/follow.go
+++ b/internal/standin/follow/follow.go
@@ -296,8 +296,15 @@
 // Pick draws a line for a kind and key, none of those tried before if there is another. Where none is left it returns "".
 func (f *Follower) Pick(nowMs float64, kind int, key string, tried []string) string {
 	t := f.serving(kind, key)
-	if len(tried) == 0 && f.shuns <= nowMs && len(f.outBefore) == 0 && f.habits.Pick == "weighted" {
-		return f.lineup(kind, t).draw(f.rnd)
+	if len(tried) == 0 && f.shuns <= nowMs && len(f.outBefore) == 0 && f.habits.Pick != "round" {
+		l := f.lineup(kind, t)
+		a := l.draw(f.rnd)
+		if f.habits.Pick == "two" {
+			if b := l.draw(f.rnd); f.busy[b] < f.busy[a] {
+				return b
+			}
+		}
+		return a
 	}
 	var names []string
 	for pass := 0; pass < 3 && len(names) == 0; pass++ { // then with the shunned, then with those tried
