--- /dev/null
+++ b/internal/baseline/baseline.go
@@ -0,0 +1,251 @@
+// Package baseline holds policies to compare the module with, in rehearsals and experiments. They pace nothing and keep no
+// rule on purpose; none ships in a pilot.
+package baseline
+
+import (
+	"fmt"
+	"hash/crc32"
+	"maps"
+	"math"
+	"slices"
+
+	"indigousher/brain"
+	"indigousher/internal/pilot"
+)
+
+// Make makes a policy for one pilot.
+type Make func(seed int64, terms map[string]any) pilot.Decider
+
+// Names lists the policies that Named knows, in the order in which they are shown.
+func Names() []string {
+	return []string{"even", "subset", "aperture", "inverse", "feedback", "oracle"}
+}
+
+// Named returns a policy by name.
+func Named(name string) (Make, error) {
+	of := func(plan func(*policy, int) map[int]float64, everyMs float64, own bool) Make {
+		return func(seed int64, _ map[string]any) pilot.Decider {
+			return &policy{seed: seed, plan: plan, everyMs: everyMs, own: own, listed: map[int]brain.Entry{}, proxies: map[int]brain.Joined{},
+				tables: map[int]map[int]float64{}, util: map[int]float64{}, weight: map[int]float64{}}
+		}
+	}
+	switch name {
+	case "even":
+		return of((*policy).even, 0, false), nil
+	case "subset":
+		return of((*policy).subset, 0, true), nil
+	case "aperture":
+		return of((*policy).aperture, 0, true), nil
+	case "inverse":
+		return of((*policy).inverse, 1000, false), nil
+	case "feedback":
+		return of((*policy).feedback, 1000, false), nil
+	case "oracle":
+		return func(seed int64, t map[string]any) pilot.Decider {
+			p := of((*policy).oracle, 100, false)(seed, t).(*policy)
+			return &Oracle{policy: p}
+		}, nil
+	}
+	return nil, fmt.Errorf("baseline %q is not known; there are %v", name, Names())
+}
+
+// policy keeps the list, who is joined and the tables as ordered, and sends what differs at once.
+type policy struct {
+	seed    int64
+	plan    func(p *policy, proxy int) map[int]float64
+	everyMs float64 // anew so often; 0: on changes only
+	own     bool    // a table for each proxy, else one for all
+	dueMs   float64
+	listed  map[int]brain.Entry
+	order   []int // of what is ready
+	proxies map[int]brain.Joined
+	tables  map[int]map[int]float64
+	util    map[int]float64 // last told
+	weight  map[int]float64 // of feedback
+	truth   func(endpoint int) (busy float64, runs bool)
+}
+
+// Handle follows the list and the proxies.
+func (p *policy) Handle(nowMs float64, notes []brain.Note) (orders []brain.Order) {
+	changed, fresh := false, []int(nil)
+	for _, n := range notes {
+		switch n := n.(type) {
+		case brain.Listing:
+			p.list(n)
+			changed = true
+		case brain.Joined:
+			p.proxies[n.Proxy] = n
+			fresh = append(fresh, n.Proxy)
+		case brain.Left:
+			delete(p.proxies, n.Proxy)
+		case brain.Met:
+			if u, told := n.Load["util"]; told {
+				p.util[n.Endpoint] = u
+			}
+		}
+	}
+	due := p.everyMs > 0 && nowMs >= p.dueMs
+	if due {
+		p.dueMs = nowMs + p.everyMs
+		orders = append(orders, brain.WakeAt{AtMs: p.dueMs, Name: "again"})
+	}
+	if changed || due || p.own && len(fresh) > 0 {
+		orders = append(orders, p.push()...)
+	}
+	for _, x := range fresh {
+		orders = append(orders, brain.Bind{Table: p.table(x), Proxy: x})
+	}
+	return orders
+}
+
+func (p *policy) table(proxy int) int {
+	if p.own {
+		return proxy + 1
+	}
+	return 0
+}
+
+func (p *policy) list(l brain.Listing) {
+	if l.Mode == brain.Whole {
+		clear(p.listed)
+	}
+	for _, e := range l.Entries {
+		p.listed[e.Endpoint] = e
+	}
+	p.order = p.order[:0]
+	for _, i := range slices.Sorted(maps.Keys(p.listed)) {
+		if p.listed[i].Phase == brain.Ready {
+			p.order = append(p.order, i)
+		}
+	}
+}
+
+// push sends the lines that differ.
+func (p *policy) push() (orders []brain.Order) {
+	who := []int{0}
+	if p.own {
+		who = slices.Sorted(maps.Keys(p.proxies))
+	}
+	for _, x := range who {
+		number := p.table(x)
+		want, has := p.plan(p, x), p.tables[number]
+		if has == nil {
+			has = map[int]float64{}
+			p.tables[number] = has
+		}
+		for _, i := range slices.Sorted(maps.Keys(has)) {
+			if want[i] == 0 {
+				delete(has, i)
+				orders = append(orders, brain.SetLine{Table: number, Endpoint: i})
+			}
+		}
+		for _, i := range slices.Sorted(maps.Keys(want)) {
+			if has[i] != want[i] {
+				has[i] = want[i]
+				orders = append(orders, brain.SetLine{Table: number, Endpoint: i, Weight: want[i]})
+			}
+		}
+	}
+	return orders
+}
+
+// even gives each endpoint its listed weight.
+func (p *policy) even(int) map[int]float64 {
+	out := map[int]float64{}
+	for _, i := range p.order {
+		out[i] = max(p.listed[i].Weight, 1e-9)
+	}
+	return out
+}
+
+// lines is how many endpoints a proxy of its own table gets.
+const lines = 8
+
+func (p *policy) chance(a, b int) uint32 {
+	return crc32.ChecksumIEEE(fmt.Appendf(nil, "%d %d %d", p.seed, a, b))
+}
+
+// subset draws endpoints for each proxy.
+func (p *policy) subset(proxy int) map[int]float64 {
+	order := slices.Clone(p.order)
+	slices.SortFunc(order, func(a, b int) int { return int(p.chance(proxy, a)>>1) - int(p.chance(proxy, b)>>1) })
+	out := map[int]float64{}
+	for _, i := range order[:min(lines, len(order))] {
+		out[i] = max(p.listed[i].Weight, 1e-9)
+	}
+	return out
+}
+
+// aperture gives each proxy a window on a ring, windows laid out evenly.
+func (p *policy) aperture(proxy int) map[int]float64 {
+	n, out := len(p.order), map[int]float64{}
+	if n == 0 {
+		return out
+	}
+	place, _ := slices.BinarySearch(slices.Sorted(maps.Keys(p.proxies)), proxy)
+	from := float64(place) / float64(max(1, len(p.proxies))) * float64(n)
+	for k := range min(lines, n) {
+		i := p.order[(int(from)+k)%n]
+		out[i] = max(p.listed[i].Weight, 1e-9)
+	}
+	return out
+}
+
+// inverse gives weights by the inverse of the load last told.
+func (p *policy) inverse(int) map[int]float64 {
+	out := map[int]float64{}
+	for _, i := range p.order {
+		out[i] = round(max(p.listed[i].Weight, 1e-9) / max(0.05, p.util[i]))
+	}
+	return out
+}
+
+// feedback moves each weight by how far its load is from the mean, without any price for what it costs.
+func (p *policy) feedback(int) map[int]float64 {
+	sum, out := 0.0, map[int]float64{}
+	for _, i := range p.order {
+		sum += p.util[i]
+	}
+	mean := sum / float64(max(1, len(p.order)))
+	for _, i := range p.order {
+		if p.weight[i] == 0 {
+			p.weight[i] = max(p.listed[i].Weight, 1e-9)
+		}
+		p.weight[i] *= math.Exp(min(0.5, max(-0.5, mean-p.util[i])))
+		out[i] = round(p.weight[i])
+	}
+	return out
+}
+
+// round keeps a weight to about two figures, so that not every line differs each time.
+func round(w float64) float64 { return math.Exp(math.Round(math.Log(w)*20) / 20) }
+
+// Oracle spreads by the true state, which no pilot can know; whoever runs it tells it the truth and the names.
+type Oracle struct {
+	*policy
+	Tell func(endpoint int) (busy float64, runs bool)
+}
+
+// Handle passes on what it is told.
+func (o *Oracle) Handle(nowMs float64, notes []brain.Note) []brain.Order {
+	o.truth = o.Tell
+	return o.policy.Handle(nowMs, notes)
+}
+
+// oracle gives weight by the room that there truly is.
+func (p *policy) oracle(int) map[int]float64 {
+	out := map[int]float64{}
+	for _, i := range p.order {
+		busy, runs := 0.0, true
+		if p.truth != nil {
+			busy, runs = p.truth(i)
+		}
+		if runs {
+			out[i] = round(max(p.listed[i].Weight, 1e-9) / (0.2 + busy*busy))
+		}
+	}
+	if len(out) == 0 {
+		return p.even(0)
+	}
+	return out
+}
--- a/internal/emulator/pilot.go
+++ b/internal/emulator/pilot.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"indigousher/internal/baseline"
 	"indigousher/internal/pilot"
 	"indigousher/internal/record"
 	"indigousher/internal/standin/trail"
@@ -32,7 +33,7 @@
 	Verdict   recovery.Verdict
 	Replayed  int // turns
 	TookMs    float64
-	LinesSent int // in the 10 s after
+	LinesSent int // by settleMs after
 }
 
 // pilotRun is one process: the shipped runtime, driven by the clock.
@@ -52,6 +53,9 @@
 // grain is less than anything that counts, in ms.
 const grain = 1e-6
 
+// settleMs is how long after a start its lines are counted.
+const settleMs = 10_000
+
 // keepMs is how often the record is committed.
 const keepMs = 200
 
@@ -74,10 +78,16 @@
 	if r.core == nil {
 		r.core = pilot.NewCore(plan)
 	}
-	s.Starts = append(s.Starts, begin)
-	if w.Trace != nil {
-		w.Trace.began(s)
+	if o, is := plan.Decider.(*baseline.Oracle); is {
+		o.Tell = func(i int) (float64, bool) { return w.truth(r.core.EndpointName(i)) }
 	}
+	s.Starts = append(s.Starts, begin)
+	number := len(s.Starts) - 1
+	w.After(settleMs, func() {
+		if s.run == r {
+			s.Starts[number].LinesSent = r.core.Channel.Sent
+		}
+	})
 	r.turn()
 	w.list.whole(s, r) // a source that streams is watched from the start
 }
--- a/internal/emulator/trace.go
+++ /dev/null
@@ -1,6 +0,0 @@
-package emulator
-
-// Tracer follows decisions.
-type Tracer struct{}
-
-func (*Tracer) began(*seat) {}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -33,7 +33,6 @@
 	Talk   bool                                                 // pilots may tell each other
 	Keep   bool                                                 // all events are kept in the outcome
 	Log    func(atMs float64, pilot, text string)               // the module's lines; nil: nobody
-	Trace  *Tracer                                              // nil: none
 	Judged bool                                                 // false: no audit, for speed
 }
 
@@ -146,22 +145,16 @@
 
 func (w *World) decide(seed int64, t map[string]any) pilot.Decider {
 	d := w.Decide(seed, t)
-	if a, is := d.(Knowing); is {
-		a.Know(w)
-	}
 	return d
 }
 
-// Knowing is a baseline that sees the true state, as no pilot can.
-type Knowing interface{ Know(*World) }
-
-// InHand returns how many reqs an endpoint truly has, and how many its cores do at a time; false if it does not run.
-func (w *World) InHand(name string) (inHand, cores int, runs bool) {
+// truth tells how busy an endpoint truly is, as a part of its cores, and whether it answers at all.
+func (w *World) truth(name string) (busy float64, runs bool) {
 	m := w.byName[name]
 	if m == nil || m.run == nil || m.run.fallen || m.mood.Hang {
-		return 0, 0, false
+		return 0, false
 	}
-	return m.run.inHand, m.Cores, true
+	return float64(m.run.inHand) / float64(m.Cores), true
 }
 
 // note adds an event to the trails.
--- /dev/null
+++ b/internal/experiment/report.go
@@ -0,0 +1,227 @@
+package experiment
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"image/color"
+	"io"
+	"slices"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"indigousher/internal/audit"
+)
+
+// page stands alone: no file, script or address of others.
+var page = template.Must(template.New("page").Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>{{.Name}}</title><style>
+body{font:14px/1.5 sans-serif;max-width:1200px;margin:2em auto;padding:0 1em;color:#222}
+table{border-collapse:collapse;font-size:12px;display:block;overflow-x:auto}td,th{border:1px solid #ccc;padding:.25em .5em;text-align:right;white-space:nowrap}
+td:first-child,td:nth-child(2){text-align:left}.broken{color:#b00}svg{max-width:100%;height:auto}
+</style></head><body><h1>{{.Name}}</h1><p>{{.About}}</p>
+<p>Emulated, in virtual time; day <b>{{.Day}}</b>, {{.Repeats}} seeds with the same random numbers for all policies. Means with 95%
+confidence intervals (Student's t); differences are paired by seed.{{if .Left}} {{.Left}} runs were left out: the budget was spent.{{end}}</p>
+<table><tr><th>policy</th><th>levels</th>{{range .Heads}}<th>{{.}}</th>{{end}}</tr>
+{{range .Rows}}<tr{{if .Broken}} class="broken"{{end}}><td>{{.Policy}}</td><td>{{.Levels}}</td>{{range .Cells}}<td>{{.}}</td>{{end}}</tr>
+{{end}}</table>{{range .Charts}}<h2>{{.Title}}</h2>{{.SVG}}{{end}}</body></html>
+`))
+
+type chart struct {
+	Title string
+	SVG   template.HTML
+}
+
+type pageRow struct {
+	Policy, Levels string
+	Cells          []string
+	Broken         bool
+}
+
+// Report writes the table and its charts as one HTML file.
+func (t *Table) Report(out io.Writer) error {
+	view := struct {
+		Name, About, Day string
+		Repeats, Left    int
+		Heads            []string
+		Rows             []pageRow
+		Charts           []chart
+	}{Name: t.Plan.Name, About: t.Plan.About, Day: t.Plan.Day, Repeats: t.Plan.Repeats, Left: t.Left}
+	for _, m := range Metrics {
+		view.Heads = append(view.Heads, m.Name)
+	}
+	view.Heads = append(view.Heads, "service beside "+t.Plan.Policies[0])
+	for i, c := range t.Cells {
+		row := pageRow{Policy: c.Policy, Levels: t.Plan.Label(c.Levels)}
+		for _, m := range Metrics {
+			row.Cells = append(row.Cells, t.Figure(i, m).String())
+		}
+		row.Cells = append(row.Cells, t.Beside(i, Metrics[0]).String())
+		row.Broken = t.Figure(i, Metrics[10]).Mean > 0
+		view.Rows = append(view.Rows, row)
+	}
+	charts, err := t.charts()
+	if err != nil {
+		return err
+	}
+	view.Charts = charts
+	if err := page.Execute(out, view); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return nil
+}
+
+// charts draws each metric that differs against the first factor, and service by time at each level.
+func (t *Table) charts() (list []chart, err error) {
+	if len(t.Plan.Factors) > 0 && len(t.Plan.Factors[0].Levels) > 1 {
+		for _, m := range Metrics {
+			c, differs, err := t.against(m)
+			if err != nil {
+				return nil, err
+			}
+			if differs {
+				list = append(list, c)
+			}
+		}
+	}
+	var combos [][]float64
+	for _, c := range t.Cells {
+		if c.Policy == t.Plan.Policies[0] {
+			combos = append(combos, c.Levels)
+		}
+	}
+	for _, levels := range combos {
+		c, err := t.byTime(levels)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, c)
+	}
+	return list, nil
+}
+
+// against draws a metric against the first factor, one line for each policy at the first levels of the others.
+func (t *Table) against(m Metric) (chart, bool, error) {
+	p := plot.New()
+	f := t.Plan.Factors[0]
+	p.X.Label.Text, p.Y.Label.Text = f.Name, m.Name
+	first, last := f.Levels[0], f.Levels[len(f.Levels)-1]
+	if first > 0 && last/first >= 10 {
+		p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	}
+	differs, seen := false, map[string]float64{}
+	for n, policy := range t.Plan.Policies {
+		var points plotter.XYs
+		var bars plotter.YErrors
+		for i, c := range t.Cells {
+			if c.Policy != policy || !t.firstOfOthers(c.Levels) {
+				continue
+			}
+			g := t.Figure(i, m)
+			if g.Runs == 0 {
+				continue
+			}
+			points = append(points, plotter.XY{X: c.Levels[0], Y: g.Mean})
+			bars = append(bars, struct{ Low, High float64 }{g.Half, g.Half})
+			was, is := seen["first"]
+			if differs = differs || is && was != g.Mean; !is {
+				seen["first"] = g.Mean
+			}
+		}
+		if len(points) == 0 {
+			continue
+		}
+		if err := add(p, n, policy, points, bars); err != nil {
+			return chart{}, false, err
+		}
+	}
+	svg, err := drawn(p)
+	return chart{m.Name + " against " + f.Name, svg}, differs, err
+}
+
+func (t *Table) firstOfOthers(levels []float64) bool {
+	for i, f := range t.Plan.Factors[1:] {
+		if levels[i+1] != f.Levels[0] {
+			return false
+		}
+	}
+	return true
+}
+
+func add(p *plot.Plot, n int, name string, points plotter.XYs, bars plotter.YErrors) error {
+	line, dots, err := plotter.NewLinePoints(points)
+	if err != nil {
+		return fmt.Errorf("draw %s: %w", name, err)
+	}
+	line.Color, dots.Color, dots.Shape = plotutil.Color(n), plotutil.Color(n), draw.CircleGlyph{}
+	p.Add(line, dots)
+	if bars != nil {
+		e, err := plotter.NewYErrorBars(struct {
+			plotter.XYer
+			plotter.YErrorer
+		}{points, bars})
+		if err != nil {
+			return fmt.Errorf("draw %s: %w", name, err)
+		}
+		e.Color = plotutil.Color(n)
+		p.Add(e)
+	}
+	p.Legend.Add(name, line)
+	return nil
+}
+
+// byTime draws service by windows of time.
+func (t *Table) byTime(levels []float64) (chart, error) {
+	p := plot.New()
+	p.X.Label.Text, p.Y.Label.Text = "s", "service"
+	p.Y.Min, p.Y.Max = 0, 1
+	for n, policy := range t.Plan.Policies {
+		cell := slices.IndexFunc(t.Cells, func(c Cell) bool { return c.Policy == policy && slices.Equal(c.Levels, levels) })
+		sums, runs := []float64(nil), 0
+		for _, r := range t.Results[cell] {
+			if r == nil {
+				continue
+			}
+			runs++
+			for i, w := range r.Windows {
+				if i == len(sums) {
+					sums = append(sums, 0)
+				}
+				sums[i] += w
+			}
+		}
+		var points plotter.XYs
+		for i, s := range sums {
+			points = append(points, plotter.XY{X: (float64(i) + 0.5) * audit.WindowMs / 1000, Y: s / float64(runs)})
+		}
+		if len(points) > 0 {
+			if err := add(p, n, policy, points, nil); err != nil {
+				return chart{}, err
+			}
+		}
+	}
+	svg, err := drawn(p)
+	return chart{"service by time: " + t.Plan.Label(levels), svg}, err
+}
+
+func drawn(p *plot.Plot) (template.HTML, error) {
+	p.BackgroundColor = color.White
+	p.Legend.Top = true
+	p.Add(plotter.NewGrid())
+	c := vgsvg.New(20*vg.Centimeter, 10*vg.Centimeter)
+	p.Draw(draw.New(c))
+	var b bytes.Buffer
+	if _, err := c.WriteTo(&b); err != nil {
+		return "", fmt.Errorf("draw: %w", err)
+	}
+	text := b.Bytes()
+	if i := bytes.Index(text, []byte("<svg")); i > 0 { // what comes before belongs to a file of its own
+		text = text[i:]
+	}
+	return template.HTML(text), nil // made by the plotting library from our own labels
+}
--- /dev/null
+++ b/internal/experiment/run.go
@@ -0,0 +1,274 @@
+package experiment
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"go.etcd.io/bbolt"
+	"golang.org/x/sync/errgroup"
+
+	"indigousher/internal/baseline"
+	"indigousher/internal/emulator"
+	"indigousher/internal/pilot"
+)
+
+// Result is what one run gave.
+type Result struct {
+	Service    float64   // payoff earned over payoff asked for
+	Worst      float64   // of the worst 5 s
+	Windows    []float64 // by 5 s
+	Errored    float64   // parts of the reqs
+	Denied     float64
+	TriesEach  float64
+	P50, P99   float64 // ms, of reqs that were done
+	Spread     float64 // busiest endpoint's load over the mean
+	LinesPerS  float64 // of all pilots
+	MostLines  float64 // in one channel, as a part of the backlog
+	Broken     float64 // rules
+	Nearest    float64 // to any rule's limit: 1 is the limit
+	RebuiltMs  float64 // the longest rebuild of a pilot that returned, in real time
+	LinesAfter float64 // that a pilot which returned sent in its first 10 s, mean
+	PilotMs    float64 // real time of pilots' turns a virtual second
+	Events     float64
+	TookMs     float64
+	Text       string // of what broke
+}
+
+// Metric is one figure of a result.
+type Metric struct {
+	Name string
+	Of   func(*Result) float64
+}
+
+// Metrics are those shown, in this order.
+var Metrics = []Metric{
+	{"service", func(r *Result) float64 { return r.Service }}, {"worst 5 s", func(r *Result) float64 { return r.Worst }},
+	{"errored", func(r *Result) float64 { return r.Errored }}, {"denied", func(r *Result) float64 { return r.Denied }},
+	{"tries each", func(r *Result) float64 { return r.TriesEach }},
+	{"p50 ms", func(r *Result) float64 { return r.P50 }}, {"p99 ms", func(r *Result) float64 { return r.P99 }},
+	{"busiest / mean", func(r *Result) float64 { return r.Spread }}, {"lines / s", func(r *Result) float64 { return r.LinesPerS }},
+	{"queue / backlog", func(r *Result) float64 { return r.MostLines }}, {"rules broken", func(r *Result) float64 { return r.Broken }},
+	{"nearest limit", func(r *Result) float64 { return r.Nearest }}, {"rebuilt ms", func(r *Result) float64 { return r.RebuiltMs }},
+	{"lines after", func(r *Result) float64 { return r.LinesAfter }}, {"pilot ms / s", func(r *Result) float64 { return r.PilotMs }},
+}
+
+// Program returns what tells programs apart: the digest of this one's file.
+func Program() (string, error) {
+	path, err := os.Executable()
+	if err != nil {
+		return "", fmt.Errorf("find this program: %w", err)
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return "", fmt.Errorf("read this program: %w", err)
+	}
+	defer f.Close()
+	h := sha256.New()
+	if _, err := io.Copy(h, f); err != nil {
+		return "", fmt.Errorf("read this program: %w", err)
+	}
+	return hex.EncodeToString(h.Sum(nil)[:16]), nil
+}
+
+var bucket = []byte("runs")
+
+// Runner plays a plan.
+type Runner struct {
+	Plan    *Plan
+	Store   string              // file; results in it are not played again
+	Program string              // of another one nothing is taken
+	Say     func(done, all int) // progress
+	Workers int                 // 0: one a core
+}
+
+// Table holds results by cell and seed; nil where a run was left out.
+type Table struct {
+	Plan    *Plan
+	Cells   []Cell
+	Results [][]*Result
+	Left    int // runs that the budget left out
+	Taken   int // from the store
+}
+
+// Run plays what the store does not have. Runs of one seed share their random numbers over all cells.
+func (r *Runner) Run(ctx context.Context) (*Table, error) {
+	db, err := bbolt.Open(r.Store, 0o600, &bbolt.Options{Timeout: time.Second})
+	if err != nil {
+		return nil, fmt.Errorf("open results: %w", err)
+	}
+	defer db.Close()
+	t := &Table{Plan: r.Plan, Cells: r.Plan.Cells()}
+	t.Results = make([][]*Result, len(t.Cells))
+	for i := range t.Results {
+		t.Results[i] = make([]*Result, r.Plan.Repeats)
+	}
+	ctx, cancel := context.WithTimeoutCause(ctx, r.Plan.Budget, errBudget)
+	defer cancel()
+	var mu sync.Mutex
+	done, all := 0, len(t.Cells)*r.Plan.Repeats
+	g, gctx := errgroup.WithContext(ctx)
+	workers := r.Workers
+	if workers == 0 {
+		workers = runtime.GOMAXPROCS(0)
+	}
+	g.SetLimit(workers)
+	for seed := range r.Plan.Repeats { // all cells of one seed before the next: an early end leaves pairs
+		for i, c := range t.Cells {
+			g.Go(func() error {
+				res, taken, err := r.one(gctx, db, c, seed+1)
+				if errors.Is(err, context.DeadlineExceeded) {
+					err = nil
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				t.Results[i][seed] = res
+				done++
+				if res == nil {
+					t.Left++
+				} else if taken {
+					t.Taken++
+				}
+				if r.Say != nil {
+					r.Say(done, all)
+				}
+				return err
+			})
+		}
+	}
+	return t, g.Wait()
+}
+
+var errBudget = fmt.Errorf("the experiment's budget is spent: %w", context.DeadlineExceeded)
+
+// one returns a run's result, from the store or played.
+func (r *Runner) one(ctx context.Context, db *bbolt.DB, c Cell, seed int) (*Result, bool, error) {
+	d, err := r.Plan.load()
+	if err != nil {
+		return nil, false, err
+	}
+	for i, f := range r.Plan.Factors {
+		factors[f.Name](d, c.Levels[i])
+	}
+	d.Seed = d.Seed*100_003 + seed
+	text, err := json.Marshal(d)
+	if err != nil {
+		return nil, false, fmt.Errorf("lay out day: %w", err)
+	}
+	sum := sha256.Sum256(append([]byte(r.Program+" "+c.Policy+" "), text...))
+	var found *Result
+	err = db.View(func(tx *bbolt.Tx) error {
+		b := tx.Bucket(bucket)
+		if b == nil || b.Get(sum[:]) == nil {
+			return nil
+		}
+		found = &Result{}
+		return json.Unmarshal(b.Get(sum[:]), found)
+	})
+	if err != nil || found != nil {
+		return found, true, err
+	}
+	if ctx.Err() != nil {
+		return nil, false, context.Cause(ctx)
+	}
+	play := emulator.Play{Day: d, Judged: true}
+	switch c.Policy {
+	case Ours:
+	case Standing:
+		play.Bare = true
+	case Two:
+		d.Pick = "two"
+		fallthrough
+	default:
+		name := c.Policy
+		if name == Two {
+			name = "even"
+		}
+		make, err := baseline.Named(name)
+		if err != nil {
+			return nil, false, err
+		}
+		play.Decide = func(seed int64, t map[string]any) pilot.Decider { return make(seed, t) }
+	}
+	o, err := play.Run(ctx)
+	if err != nil {
+		return nil, false, err
+	}
+	res := resultOf(o, d.Length.Seconds(), d.Backlog)
+	out, err := json.Marshal(res)
+	if err != nil {
+		return nil, false, fmt.Errorf("lay out result: %w", err)
+	}
+	return res, false, db.Batch(func(tx *bbolt.Tx) error {
+		b, err := tx.CreateBucketIfNotExists(bucket)
+		if err != nil {
+			return err
+		}
+		return b.Put(sum[:], out)
+	})
+}
+
+func resultOf(o *emulator.Outcome, seconds, backlog float64) *Result {
+	s := &o.Report.Service
+	n := math.Max(1, float64(s.Done+s.Denied+s.Errored))
+	r := &Result{Service: s.All.Share(), Worst: 1, Errored: float64(s.Errored) / n, Denied: float64(s.Denied) / n,
+		TriesEach: float64(o.Tries) / n, P50: float64(o.Latency.ValueAtQuantile(50)) / 1000, P99: float64(o.Latency.ValueAtQuantile(99)) / 1000,
+		LinesPerS: float64(o.Lines) / seconds, MostLines: float64(o.MostLines) / backlog, PilotMs: o.PilotMs / seconds,
+		Events: float64(o.Done), TookMs: o.TookMs}
+	for _, w := range s.Windows {
+		r.Windows = append(r.Windows, w.Share())
+		r.Worst = min(r.Worst, w.Share())
+	}
+	sum, most := 0.0, 0.0
+	for _, l := range o.Load {
+		sum, most = sum+l, max(most, l)
+	}
+	if sum > 0 {
+		r.Spread = most / (sum / float64(len(o.Load)))
+	}
+	for i := range o.Report.Verdicts {
+		v := &o.Report.Verdicts[i]
+		r.Nearest = max(r.Nearest, v.Part)
+		if !v.Kept() {
+			r.Broken++
+			r.Text += fmt.Sprintf("%s: %.2f s %s %s; ", v.Rule, v.Breaches[0].At/1000, v.Breaches[0].Who, v.Breaches[0].Text)
+		}
+	}
+	returned := 0.0
+	for _, starts := range o.Starts {
+		for _, b := range starts[min(1, len(starts)):] {
+			r.RebuiltMs = max(r.RebuiltMs, b.TookMs)
+			r.LinesAfter += float64(b.LinesSent)
+			returned++
+		}
+	}
+	r.LinesAfter /= math.Max(1, returned)
+	return r
+}
+
+// values returns a metric's values of a cell, by seed, and whether each is there.
+func (t *Table) values(cell int, m Metric) (v []float64, seeds []int) {
+	for seed, r := range t.Results[cell] {
+		if r != nil {
+			v, seeds = append(v, m.Of(r)), append(seeds, seed)
+		}
+	}
+	return v, seeds
+}
+
+// base returns the cell of the first policy with the same levels.
+func (t *Table) base(cell int) int {
+	return slices.IndexFunc(t.Cells, func(c Cell) bool {
+		return c.Policy == t.Plan.Policies[0] && slices.Equal(c.Levels, t.Cells[cell].Levels)
+	})
+}
--- a/internal/pilot/core.go
+++ b/internal/pilot/core.go
@@ -644,3 +644,6 @@
 
 // Report takes a proxy's sums in between turns, as Loop.Post does; the intake passes them on when its period is over.
 func (c *Core) Report(nowMs float64, s Stream, sums *wire.Sums) { c.gate.take(nowMs, s, sums) }
+
+// EndpointName returns the name behind an index of the module's.
+func (c *Core) EndpointName(i int) string { return c.endpoints.name(i) }
--- a/internal/rehearsal/show.go
+++ b/internal/rehearsal/show.go
@@ -6,10 +6,9 @@
 	"io"
 	"text/tabwriter"
 
-	"indigousher/brain"
 	"indigousher/internal/audit"
+	"indigousher/internal/baseline"
 	"indigousher/internal/day"
-	"indigousher/internal/pilot"
 )
 
 // Column is one playing of a day under a name.
@@ -70,7 +69,11 @@
 func Baselines(ctx context.Context, p Play) ([]Column, error) {
 	standing, even := p, p
 	standing.Bare = true
-	even.Decide = func(int64, map[string]any) pilot.Decider { return &evenTable{listed: map[int]bool{}} }
+	table, err := baseline.Named("even")
+	if err != nil {
+		return nil, err
+	}
+	even.Decide = Decide(table)
 	var columns []Column
 	for _, c := range []struct {
 		name string
@@ -85,41 +88,3 @@
 	}
 	return columns, nil
 }
-
-// evenTable is a baseline: one table of all that is listed as ready, for all proxies, changed at once. It paces
-// nothing and keeps no rule on purpose.
-type evenTable struct{ listed map[int]bool }
-
-// Handle follows the list.
-func (t *evenTable) Handle(_ float64, notes []brain.Note) (orders []brain.Order) {
-	for _, n := range notes {
-		switch n := n.(type) {
-		case brain.Listing:
-			orders = append(orders, t.list(n)...)
-		case brain.Joined:
-			orders = append(orders, brain.Bind{Proxy: n.Proxy})
-		}
-	}
-	return orders
-}
-
-func (t *evenTable) list(l brain.Listing) (orders []brain.Order) {
-	named := map[int]bool{}
-	for _, e := range l.Entries {
-		named[e.Endpoint] = true
-		if ready := e.Phase == brain.Ready; ready != t.listed[e.Endpoint] {
-			t.listed[e.Endpoint] = ready
-			orders = append(orders, brain.SetLine{Endpoint: e.Endpoint, Weight: map[bool]float64{true: 1}[ready]})
-		}
-	}
-	if l.Mode != brain.Whole {
-		return orders
-	}
-	for i, on := range t.listed {
-		if on && !named[i] {
-			t.listed[i] = false
-			orders = append(orders, brain.SetLine{Endpoint: i})
-		}
-	}
-	return orders
-}
--- a/internal/standin/follow/follow.go
+++ b/internal/standin/follow/follow.go
@@ -296,21 +296,25 @@
 // Pick draws a line for a kind and key, none of those tried before if there is another. Where none is left it returns "".
 func (f *Follower) Pick(nowMs float64, kind int, key string, tried []string) string {
 	t := f.serving(kind, key)
-	if len(tried) == 0 && f.shuns <= nowMs && len(f.outBefore) == 0 && f.habits.Pick != "round" {
-		l := f.lineup(kind, t)
-		a := l.draw(f.rnd)
-		if f.habits.Pick == "two" {
-			if b := l.draw(f.rnd); f.busy[b] < f.busy[a] {
-				return b
-			}
+	l := f.lineup(kind, t)
+	if len(tried) > 0 || f.shuns > nowMs || f.habits.Pick == "round" {
+		return f.pickFrom(nowMs, t, l, tried)
+	}
+	a := l.draw(f.rnd)
+	if f.habits.Pick == "two" {
+		if b := l.draw(f.rnd); f.busy[b] < f.busy[a] {
+			return b
 		}
-		return a
 	}
+	return a
+}
+
+// pickFrom leaves out what is shunned and what was tried, as far as something else is left.
+func (f *Follower) pickFrom(nowMs float64, t *held, l *lineup, tried []string) string {
 	var names []string
 	for pass := 0; pass < 3 && len(names) == 0; pass++ { // then with the shunned, then with those tried
-		for name := range t.lines {
-			if f.open(kind, name) && (pass > 0 || f.shunned[name] <= nowMs) &&
-				(pass > 1 || !slices.Contains(tried, name)) {
+		for _, name := range l.names {
+			if (pass > 0 || f.shunned[name] <= nowMs) && (pass > 1 || !slices.Contains(tried, name)) {
 				names = append(names, name)
 			}
 		}
@@ -318,7 +322,6 @@
 	if len(names) == 0 {
 		return ""
 	}
-	slices.SortFunc(names, strings.Compare)
 	switch f.habits.Pick {
 	case "round":
 		return f.round(t, names)
@@ -344,17 +347,20 @@
 
 // lineup returns the lines that may be picked for a kind.
 func (f *Follower) lineup(kind int, t *held) *lineup {
-	if t.ready != nil {
+	if t.ready != nil && len(f.outBefore) == 0 { // else kinds of one table may differ
 		return t.ready
 	}
-	t.ready = &lineup{}
+	l := &lineup{}
 	for _, name := range slices.Sorted(maps.Keys(t.lines)) {
 		if f.open(kind, name) {
-			t.ready.names, t.ready.weights = append(t.ready.names, name), append(t.ready.weights, t.lines[name])
-			t.ready.sum += t.lines[name]
+			l.names, l.weights = append(l.names, name), append(l.weights, t.lines[name])
+			l.sum += t.lines[name]
 		}
 	}
-	return t.ready
+	if len(f.outBefore) == 0 {
+		t.ready = l
+	}
+	return l
 }
 
 func (l *lineup) draw(rnd *rand.Rand) string {
