--- a/cmd/indigousher/main.go
+++ b/cmd/indigousher/main.go
@@ -28,7 +28,7 @@
 func root() *cobra.Command {
 	c := &cobra.Command{Use: "indigousher", Short: "A central planner behind plain proxies",
 		SilenceUsage: true, SilenceErrors: true}
-	c.AddCommand(pilotCommand(), checkCommand(), rehearseCommand(), emulateCommand(), experimentCommand(), keysCommand(), replayCommand(), recordsCommand(),
+	c.AddCommand(pilotCommand(), checkCommand(), rehearseCommand(), emulateCommand(), experimentCommand(), searchCommand(), keysCommand(), replayCommand(), recordsCommand(),
 		versionCommand())
 	return c
 }
--- a/internal/emulator/trouble.go
+++ b/internal/emulator/trouble.go
@@ -329,7 +329,9 @@
 		case "handover":
 			w.handOver(s, w.now+ms(t.For), max(ms(t.Every), 1))
 		case "pilot_pause":
-			s.paused = w.now + ms(t.For)
+			s.paused = w.now + ms(t.For) // nobody hears of it meanwhile either
+			w.dumb(n, true)
+			w.After(ms(t.For), func() { w.dumb(n, false) })
 		case "reload":
 			if s.run != nil {
 				s.run.reload(t.Size)
--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,126 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const text = `about = "a test"
+day = "day.hcl"
+repeats = 3
+budget = "2m"
+policies = ["indigousher", "even", "two", "subset", "aperture", "inverse", "feedback", "oracle", "standing"]
+factor "load" {
+  levels = ["0.5", "1"]
+}
+`
+
+func plan(t *testing.T, text string) *Plan {
+	dir := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "day.hcl"), []byte("like = \"quiet\"\nlength = \"6s\"\ntrouble \"hang\" {\n at = \"2s\"\n for = \"3s\"\n part = 0.1\n}\n"), 0o600))
+	path := filepath.Join(dir, "test.hcl")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	p, err := Read(path)
+	require.NoError(t, err)
+	return p
+}
+
+// shown is a table as people see it, without what is of real time.
+func shown(t *testing.T, x *Table) string {
+	for _, cell := range x.Results {
+		for _, r := range cell {
+			r.PilotMs, r.TookMs = 0, 0
+		}
+	}
+	var b bytes.Buffer
+	require.NoError(t, x.Print(&b))
+	return b.String()
+}
+
+// TestResumed guards experiments that are interrupted: they go on where they were, give the tables of one that was not, and
+// take nothing from another program's runs.
+func TestResumed(t *testing.T) {
+	p := plan(t, text)
+	whole := &Runner{Plan: p, Store: filepath.Join(t.TempDir(), "whole.db"), Program: "one"}
+	want, err := whole.Run(t.Context())
+	require.NoError(t, err)
+	assert.Zero(t, want.Left+want.Taken)
+	ctx, cancel := context.WithCancel(t.Context())
+	broken := &Runner{Plan: p, Store: filepath.Join(t.TempDir(), "broken.db"), Program: "one", Workers: 1, Say: func(done, _ int) {
+		if done == 5 {
+			cancel()
+		}
+	}}
+	_, err = broken.Run(ctx)
+	require.ErrorIs(t, err, context.Canceled)
+	broken.Say = nil
+	got, err := broken.Run(t.Context())
+	require.NoError(t, err)
+	assert.GreaterOrEqual(t, got.Taken, 4)
+	assert.Less(t, got.Taken, 10)
+	assert.Equal(t, shown(t, want), shown(t, got))
+	broken.Program = "another"
+	got, err = broken.Run(t.Context())
+	require.NoError(t, err)
+	assert.Zero(t, got.Taken)
+	p.Budget = time.Nanosecond
+	broken.Program = "a third"
+	got, err = broken.Run(t.Context())
+	require.NoError(t, err)
+	assert.Equal(t, 54, got.Left)
+	var b bytes.Buffer
+	require.NoError(t, got.Print(&b))
+	assert.Contains(t, b.String(), "54 runs were left out")
+}
+
+// TestReport guards the report against what would need a network: it holds its charts and names no address.
+func TestReport(t *testing.T) {
+	p := plan(t, strings.Replace(text, "repeats = 3", "repeats = 2", 1))
+	x, err := (&Runner{Plan: p, Store: filepath.Join(t.TempDir(), "x.db"), Program: "one"}).Run(t.Context())
+	require.NoError(t, err)
+	var b bytes.Buffer
+	require.NoError(t, x.Report(&b))
+	assert.Greater(t, strings.Count(b.String(), "<svg"), 4)
+	for _, address := range regexp.MustCompile(`(src|href)="[^"#]*"`).FindAllString(b.String(), -1) {
+		assert.Fail(t, "an address", address)
+	}
+	ours, even := -1, -1
+	for i, c := range x.Cells {
+		if c.Levels[0] == 1 && c.Policy == Ours {
+			ours = i
+		} else if c.Levels[0] == 1 && c.Policy == "even" {
+			even = i
+		}
+	}
+	assert.Greater(t, x.Figure(ours, Metrics[0]).Mean, x.Figure(even, Metrics[0]).Mean, "a hang costs one even table more")
+	assert.Negative(t, x.Beside(even, Metrics[0]).Mean)
+}
+
+// TestFigure holds the interval against a textbook's: five values, t of 2.776.
+func TestFigure(t *testing.T) {
+	f := figure([]float64{1, 2, 3, 4, 5})
+	assert.InDelta(t, 3, f.Mean, 1e-9)
+	assert.InDelta(t, 2.776*1.5811/2.2361, f.Half, 1e-3)
+}
+
+// TestWrong guards against files that name what is not there.
+func TestWrong(t *testing.T) {
+	for _, c := range []struct{ from, to, want string }{
+		{`"load"`, `"lode"`, `factor "lode" is not known`}, {`"even"`, `"evn"`, `policy "evn" is not known`},
+		{`"0.5"`, `"half"`, "no number"}, {`"day.hcl"`, `"none.hcl"`, "none.hcl"},
+	} {
+		path := filepath.Join(t.TempDir(), "wrong.hcl")
+		require.NoError(t, os.WriteFile(path, []byte(strings.Replace(text, c.from, c.to, 1)), 0o600))
+		_, err := Read(path)
+		assert.ErrorContains(t, err, c.want)
+	}
+}
--- /dev/null
+++ b/internal/search/search.go
@@ -0,0 +1,192 @@
+package search
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"indigousher/internal/audit"
+	"indigousher/internal/day"
+	"indigousher/internal/emulator"
+	"indigousher/internal/pilot"
+)
+
+// Find is what one drawn day came to.
+type Find struct {
+	Draft   *Draft
+	Service float64
+	Near    [5]float64 // to each rule's limit
+	Broken  []string   // rules, with the first breach
+	Events  uint64
+}
+
+// Nearest returns how near the day came to any limit.
+func (f *Find) Nearest() float64 { return slices.Max(f.Near[:]) }
+
+// Search plays drawn days.
+type Search struct {
+	Decide func(seed int64, terms map[string]any) pilot.Decider // nil: the module
+	Say    func(f *Find)
+}
+
+// Play plays one draft.
+func (s *Search) Play(ctx context.Context, d *Draft) (*Find, error) {
+	x, err := d.Day()
+	if err != nil {
+		return nil, fmt.Errorf("drawn day %d: %w", d.Seed, err)
+	}
+	o, err := emulator.Play{Day: x, Judged: true, Decide: s.Decide}.Run(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("drawn day %d: %w", d.Seed, err)
+	}
+	f := &Find{Draft: d, Service: o.Report.Service.All.Share(), Events: o.Done}
+	for i := range o.Report.Verdicts {
+		v := &o.Report.Verdicts[i]
+		f.Near[i] = v.Part
+		if !v.Kept() {
+			b := v.Breaches[0]
+			f.Broken = append(f.Broken, fmt.Sprintf("%s: %.2f s %s %s", v.Rule, b.At/1000, b.Who, b.Text))
+		}
+	}
+	return f, nil
+}
+
+// Random plays days of many seeds over all cores and returns them by seed.
+func (s *Search) Random(ctx context.Context, from, many, endpoints int) ([]*Find, error) {
+	finds := make([]*Find, many)
+	var mu sync.Mutex
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(runtime.GOMAXPROCS(0))
+	for i := range many {
+		g.Go(func() error {
+			f, err := s.Play(ctx, Draw(from+i, endpoints))
+			if err != nil {
+				return err
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if finds[i] = f; s.Say != nil {
+				s.Say(f)
+			}
+			return nil
+		})
+	}
+	return finds, g.Wait()
+}
+
+// Climb changes a draft step by step and keeps what comes nearer to a rule's limit.
+func (s *Search) Climb(ctx context.Context, f *Find, rule audit.Rule, steps int, seed uint64) (*Find, error) {
+	rnd := rand.New(rand.NewPCG(seed, 43))
+	best := f
+	for range steps {
+		next, err := s.Play(ctx, mutate(rnd, best.Draft))
+		if err != nil {
+			return best, err
+		}
+		if next.Near[rule] > best.Near[rule] {
+			best = next
+		}
+		if len(best.Broken) > 0 {
+			break
+		}
+	}
+	return best, nil
+}
+
+// mutate returns a copy with one thing changed.
+func mutate(rnd *rand.Rand, d *Draft) *Draft {
+	c := *d
+	c.Troubles = slices.Clone(d.Troubles)
+	i := 0
+	if len(c.Troubles) > 0 {
+		i = rnd.IntN(len(c.Troubles))
+	}
+	switch k := rnd.IntN(7); {
+	case k == 0 || len(c.Troubles) == 0:
+		c.Troubles = append(c.Troubles, draw(rnd, &c)...)
+	case k == 1 && len(c.Troubles) > 1:
+		c.Troubles = slices.Delete(c.Troubles, i, i+1)
+	case k == 2:
+		c.Troubles[i].At = min(max(0, c.Troubles[i].At+span(2000*rnd.NormFloat64())), c.Length-time.Second)
+	case k == 3:
+		c.Troubles[i].For = max(span(100), time.Duration(float64(c.Troubles[i].For)*(0.5+rnd.Float64())))
+	case k == 4:
+		c.Troubles[i].Part = min(1, c.Troubles[i].Part*(0.6+rnd.Float64()))
+	case k == 5:
+		c.Load = min(0.9, max(0.1, c.Load+0.08*rnd.NormFloat64()))
+	default:
+		c.ListLate = span(2000 * rnd.Float64())
+	}
+	c.order()
+	return &c
+}
+
+// Shrink takes away all that the breach of a rule does not need: troubles, then their length, then the fleet's size.
+func (s *Search) Shrink(ctx context.Context, f *Find) (*Find, error) {
+	rule, _, _ := strings.Cut(f.Broken[0], ":")
+	breaks := func(d *Draft) (*Find, error) {
+		n, err := s.Play(ctx, d)
+		if err != nil {
+			return nil, err
+		}
+		for _, b := range n.Broken {
+			if strings.HasPrefix(b, rule+":") {
+				return n, nil
+			}
+		}
+		return nil, nil
+	}
+	best := f
+	for changed := true; changed; {
+		changed = false
+		for _, c := range smaller(best.Draft) {
+			n, err := breaks(c)
+			if err != nil {
+				return best, err
+			}
+			if n != nil {
+				best, changed = n, true
+				break
+			}
+		}
+	}
+	return best, nil
+}
+
+// smaller lists drafts with one thing less, the greatest steps first.
+func smaller(d *Draft) (list []*Draft) {
+	change := func(f func(c *Draft)) {
+		c := *d
+		c.Troubles = slices.Clone(d.Troubles)
+		f(&c)
+		list = append(list, &c)
+	}
+	for i := range d.Troubles {
+		change(func(c *Draft) { c.Troubles = slices.Delete(c.Troubles, i, i+1) })
+	}
+	if d.Endpoints > 2 {
+		change(func(c *Draft) {
+			c.Endpoints, c.Proxies = c.Endpoints/2, max(1, c.Proxies/2)
+			c.LinesPerS = max(300, c.LinesPerS/2)
+		})
+	}
+	if d.Pilots > 1 {
+		change(func(c *Draft) { c.Pilots-- })
+	}
+	if last := slices.MaxFunc(append([]day.Trouble{{}}, d.Troubles...), func(a, b day.Trouble) int { return int(a.At + a.For - b.At - b.For) }); last.At+last.For+8*time.Second < d.Length {
+		change(func(c *Draft) { c.Length = (last.At + last.For + 6*time.Second).Round(time.Second) })
+	}
+	for i, t := range d.Troubles {
+		if t.For > 400*time.Millisecond {
+			change(func(c *Draft) { c.Troubles[i].For = t.For / 2 })
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/search/search_test.go
@@ -0,0 +1,76 @@
+package search
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"indigousher/brain"
+	"indigousher/internal/audit"
+	"indigousher/internal/day"
+	"indigousher/internal/pilot"
+)
+
+// TestDrawn guards the way from a draft to a day file and back: what is drawn can be read, for many seeds and sizes.
+func TestDrawn(t *testing.T) {
+	whats := map[string]bool{}
+	for seed := range 300 {
+		d := Draw(seed, 10+seed)
+		x, err := d.Day()
+		require.NoError(t, err, "%s", d.Text())
+		assert.Len(t, x.Troubles, len(d.Troubles))
+		assert.Equal(t, d.Text(), Draw(seed, 10+seed).Text())
+		for _, tr := range x.Troubles {
+			whats[tr.What] = true
+		}
+	}
+	assert.Greater(t, len(whats), 22)
+}
+
+// heedless leaves a planted fault in the module's orders: endpoints are never shut out.
+type heedless struct{ pilot.Decider }
+
+func (h heedless) Handle(now float64, notes []brain.Note) (out []brain.Order) {
+	for _, o := range h.Decider.Handle(now, notes) {
+		if _, is := o.(brain.Withdraw); is {
+			continue
+		}
+		if s, is := o.(brain.SetLine); is && s.Weight == 0 {
+			continue
+		}
+		out = append(out, o)
+	}
+	return out
+}
+
+// TestShrunk shows that a planted fault is found, and that what is found is shrunk to the trouble it needs.
+func TestShrunk(t *testing.T) {
+	s := &Search{Decide: func(seed int64, terms map[string]any) pilot.Decider { return heedless{brain.New(seed, terms)} }}
+	d := Draw(7, 12)
+	d.Troubles = append(d.Troubles, day.Trouble{What: "drain", At: 9e9, For: 8e9, Part: 0.3}, day.Trouble{What: "burst", At: 4e9, For: 2e9, Size: 1.2},
+		day.Trouble{What: "reconnect", At: 6e9, Part: 0.5})
+	d.order()
+	f, err := s.Play(t.Context(), d)
+	require.NoError(t, err)
+	require.NotEmpty(t, f.Broken)
+	require.Greater(t, f.Near[audit.DrainsKept], 1.0)
+	f.Broken = []string{audit.DrainsKept.String() + ": planted"}
+	small, err := s.Shrink(t.Context(), f)
+	require.NoError(t, err)
+	require.Len(t, small.Draft.Troubles, 1, "%s", small.Draft.Text())
+	assert.Contains(t, []string{"drain", "preempt", "replace", "crash", "vanish", "zone_loss"}, small.Draft.Troubles[0].What)
+	kept, err := (&Search{}).Play(t.Context(), small.Draft)
+	require.NoError(t, err)
+	assert.Empty(t, kept.Broken, "the module as it ships")
+}
+
+// TestClimbed shows that climbing comes nearer to a limit.
+func TestClimbed(t *testing.T) {
+	s := &Search{}
+	f, err := s.Play(t.Context(), Draw(3, 12))
+	require.NoError(t, err)
+	best, err := s.Climb(t.Context(), f, audit.ShortQueue, 12, 1)
+	require.NoError(t, err)
+	assert.Greater(t, best.Near[audit.ShortQueue], f.Near[audit.ShortQueue])
+}
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -288,6 +288,11 @@
 	if p.Rank >= p.Instances {
 		say("rank %d of %d instances: ranks count from 0", p.Rank, p.Instances)
 	}
+	for _, k := range p.Kinds {
+		if k.Repeats == "non-replayable" && p.RetryHow > 1 {
+			say("proxies: try_again %d has proxies repeat %q by themselves, which is non-replayable; 0 or 1 may stand", p.RetryHow, k.Name)
+		}
+	}
 	for r := range p.Peers {
 		if _, err := strconv.Atoi(r); err != nil {
 			say("peers: %q is no rank", r)
--- a/internal/terms/terms_test.go
+++ b/internal/terms/terms_test.go
@@ -59,6 +59,8 @@
 		{"a rank too high", good + `pilot { rank = 1 }`, "rank 1 of 1 instances"},
 		{"neither keys nor plain", strings.Replace(good, "plain = true", "", 1), "or plain = true"},
 		{"plain beyond loopback", good + `pilot { listen = "0.0.0.0:1" }`, "0.0.0.0:1 is no loopback address"},
+		{"a usual repeat of what may not be repeated", good + `proxies { try_again = 2 }
+req_kind "pay" { repeats = "non-replayable" }`, `repeat "pay" by themselves`},
 		{"a peer that is no rank", good + `peers { addresses = { x = "127.0.0.1:1" } }`, `"x" is no rank`},
 	} {
 		t.Run(c.name, func(t *testing.T) {
