--- a/cmd/indigousher/experiment.go
+++ b/cmd/indigousher/experiment.go
@@ -19,6 +19,7 @@
 func emulateCommand() *cobra.Command {
 	var seed int
 	var log bool
+	var traceFile string
 	c := &cobra.Command{Use: "emulate [DAY]", Short: "Play a day in virtual time and check the five rules",
 		Args: cobra.MaximumNArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
 			out, name := cmd.OutOrStdout(), "bad-day"
@@ -36,7 +37,19 @@
 			if log {
 				play.Log = func(at float64, pilot, text string) { fmt.Fprintf(out, "%8.3fs %s %s\n", at/1000, pilot, text) }
 			}
+			closing := func() error { return nil }
+			if traceFile != "" {
+				f, err := os.Create(traceFile)
+				if err != nil {
+					return fmt.Errorf("write trace: %w", err)
+				}
+				if play.Trace, err = emulator.NewTracer(f); err != nil {
+					return errors.Join(err, f.Close())
+				}
+				closing = func() error { return errors.Join(play.Trace.Close(cmd.Context()), f.Close()) }
+			}
 			o, err := play.Run(cmd.Context())
+			err = errors.Join(err, closing())
 			if err != nil {
 				return err
 			}
@@ -49,6 +62,7 @@
 			return nil
 		}}
 	c.Flags().IntVar(&seed, "seed", 0, "another seed than the day's")
+	c.Flags().StringVar(&traceFile, "trace", "", "write each decision's spans, from report to applied, to this file (OpenTelemetry, JSON)")
 	c.Flags().BoolVar(&log, "log", false, "show the module's lines")
 	return c
 }
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -1,6 +1,8 @@
 package emulator
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"math"
 	"testing"
@@ -74,6 +76,49 @@
 	assert.Greater(t, told, 40)
 }
 
+// TestTrace follows decisions from the first report that went into them to their application, in virtual time.
+func TestTrace(t *testing.T) {
+	d, err := day.Load("bad-day-short")
+	require.NoError(t, err)
+	var out bytes.Buffer
+	trace, err := NewTracer(&out)
+	require.NoError(t, err)
+	o, err := Play{Day: d, Trace: trace}.Run(t.Context())
+	require.NoError(t, err)
+	require.NoError(t, trace.Close(t.Context()))
+	plain, err := Play{Day: d}.Run(t.Context())
+	require.NoError(t, err)
+	assert.Equal(t, plain.Digest, o.Digest, "to be looked at changes nothing")
+	type span struct {
+		Name               string
+		StartTime, EndTime time.Time
+		SpanContext        struct{ TraceID string }
+	}
+	spans := map[string][]span{}
+	for dec := json.NewDecoder(&out); dec.More(); {
+		var s span
+		require.NoError(t, dec.Decode(&s))
+		spans[s.SpanContext.TraceID] = append(spans[s.SpanContext.TraceID], s)
+	}
+	require.Greater(t, len(spans), 10)
+	whole := 0
+	for _, of := range spans {
+		byName := map[string]span{}
+		for _, s := range of {
+			assert.False(t, s.EndTime.Before(s.StartTime))
+			byName[s.Name] = s
+		}
+		root := byName["decision"]
+		for _, s := range of {
+			assert.False(t, s.StartTime.Before(root.StartTime) || s.EndTime.After(root.EndTime), "%s outside its decision", s.Name)
+		}
+		if byName["gather"].Name != "" && byName["channel"].Name != "" && byName["way"].Name != "" && byName["apply"].Name != "" {
+			whole++
+		}
+	}
+	assert.Greater(t, whole, 10)
+}
+
 // one is a fleet of endpoints alike behind one proxy that has a line to each, and no pilot.
 func one(endpoints, cores, queue int, discipline string, rate, workMs, cv float64, length time.Duration, pick string) *day.Day {
 	d, err := day.Read("one.hcl", []byte(fmt.Sprintf(`zones = ["a"]
--- a/internal/emulator/pilot.go
+++ b/internal/emulator/pilot.go
@@ -38,14 +38,16 @@
 
 // pilotRun is one process: the shipped runtime, driven by the clock.
 type pilotRun struct {
-	s       *seat
-	born    float64 // when its own clock showed 0
-	core    *pilot.Core
-	inputs  []pilot.Input
-	turning bool
-	wakeAt  float64
-	wake    uint64
-	written []record.Turn // not kept yet
+	s           *seat
+	born        float64 // when its own clock showed 0
+	core        *pilot.Core
+	inputs      []pilot.Input
+	turning     bool
+	wakeAt      float64
+	wake        uint64
+	written     []record.Turn // not kept yet
+	reports     int           // since the last decision that was traced
+	firstReport float64
 }
 
 func (s *seat) runs() bool { return s.run != nil }
@@ -180,6 +182,9 @@
 // report takes sums past the loop, as on sockets.
 func (s *seat) report(st *stream, sums *wire.Sums) {
 	if s.run != nil {
+		if s.run.reports++; s.run.reports == 1 {
+			s.run.firstReport = s.w.now
+		}
 		s.run.core.Report(s.w.now-s.run.born, st, sums)
 		s.run.sleep()
 	}
--- a/internal/emulator/proxy.go
+++ b/internal/emulator/proxy.go
@@ -185,10 +185,10 @@
 }
 
 // apply carries out a message; the proxy stands still for as long as its lines take.
-func (li *plainLife) apply(s *stream, o *wire.Orders) {
+func (li *plainLife) apply(s *stream, o *wire.Orders, traced func(what string, from float64)) {
 	p := li.p
 	if p.mute {
-		s.unread = append(s.unread, o)
+		s.unread = append(s.unread, func() { li.apply(s, o, traced) })
 		return
 	}
 	came := p.w.now
@@ -199,6 +199,7 @@
 			return
 		}
 		marks := li.follow.Apply(o.Ops)
+		traced("apply", came)
 		li.showLines()
 		li.retire()
 		for _, n := range marks {
@@ -391,14 +392,21 @@
 	to     *seat
 	run    *pilotRun
 	ended  bool
-	unread []*wire.Orders
+	unread []func() // messages that a proxy which does not read will apply
 }
 
 // Send brings orders down. A proxy that does not read has its stream cut once it has not read for the time it may.
 func (s *stream) Send(o *wire.Orders) error {
+	traced := func(string, float64) {}
+	if t := s.w.Trace; t != nil && s.run != nil {
+		d, left := t.message(s.run, s.li.p.place.name, min(s.run.born+o.AtMs, s.w.now), o.Lines), s.w.now
+		traced = func(what string, from float64) { t.part(d, what, s.li.p.place.name, max(from, left), s.w.now, o.Lines) }
+	}
+	left := s.w.now
 	s.w.ways.carry(s.to.place, s.li.p.place, func() {
 		if !s.ended && s.li.p.life == s.li {
-			s.li.apply(s, o)
+			traced("way", left)
+			s.li.apply(s, o, traced)
 		}
 	})
 	if s.li.p.mute {
--- /dev/null
+++ b/internal/emulator/trace.go
@@ -0,0 +1,92 @@
+package emulator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/sdk/trace"
+	api "go.opentelemetry.io/otel/trace"
+)
+
+// Tracer follows decisions in virtual time, as OpenTelemetry spans: a decision begins with the first report that went into
+// it and ends when the last proxy has applied it; under it lie the gathering of reports, and for each message its wait in
+// the channel, its way and its application.
+type Tracer struct {
+	provider *trace.TracerProvider
+	tracer   api.Tracer
+	open     map[*pilotRun]*decision
+}
+
+// decision is one turn that ordered something.
+type decision struct {
+	ctx     context.Context
+	span    api.Span
+	ordered float64
+	last    float64 // end of its last part so far
+}
+
+// NewTracer writes spans to out, one JSON object each.
+func NewTracer(out io.Writer) (*Tracer, error) {
+	exporter, err := stdouttrace.New(stdouttrace.WithWriter(out))
+	if err != nil {
+		return nil, fmt.Errorf("trace: %w", err)
+	}
+	p := trace.NewTracerProvider(trace.WithBatcher(exporter))
+	return &Tracer{provider: p, tracer: p.Tracer("indigousher/emulator"), open: map[*pilotRun]*decision{}}, nil
+}
+
+// Close ends what is open and writes all.
+func (t *Tracer) Close(ctx context.Context) error {
+	for r := range t.open {
+		t.end(r)
+	}
+	if err := t.provider.Shutdown(ctx); err != nil {
+		return fmt.Errorf("trace: %w", err)
+	}
+	return nil
+}
+
+// virtual is a time of the emulator's as a wall clock would show it.
+func virtual(ms float64) time.Time {
+	return time.UnixMilli(epochMs).Add(time.Duration(ms * float64(time.Millisecond)))
+}
+
+func (t *Tracer) end(r *pilotRun) {
+	if d := t.open[r]; d != nil {
+		d.span.End(api.WithTimestamp(virtual(d.last)))
+		delete(t.open, r)
+	}
+}
+
+// message notes a message that left a pilot's channel; ordered is when it was.
+func (t *Tracer) message(r *pilotRun, proxy string, ordered float64, lines int) *decision {
+	d := t.open[r]
+	if d == nil || d.ordered != ordered {
+		t.end(r)
+		from := ordered
+		if r.reports > 0 {
+			from = min(ordered, r.firstReport)
+		}
+		ctx, span := t.tracer.Start(context.Background(), "decision", api.WithTimestamp(virtual(from)),
+			api.WithAttributes(attribute.String("pilot", r.s.place.name), attribute.Int("reports", r.reports)))
+		_, gather := t.tracer.Start(ctx, "gather", api.WithTimestamp(virtual(from)))
+		gather.End(api.WithTimestamp(virtual(ordered)))
+		r.reports = 0
+		d = &decision{ctx, span, ordered, ordered}
+		t.open[r] = d
+	}
+	t.part(d, "channel", proxy, ordered, r.s.w.now, lines)
+	return d
+}
+
+// part notes a part of a decision.
+func (t *Tracer) part(d *decision, name, proxy string, from, to float64, lines int) {
+	_, span := t.tracer.Start(d.ctx, name, api.WithTimestamp(virtual(from)),
+		api.WithAttributes(attribute.String("proxy", proxy), attribute.Int("lines", lines)))
+	span.End(api.WithTimestamp(virtual(to)))
+	d.last = max(d.last, to)
+}
--- a/internal/emulator/trouble.go
+++ b/internal/emulator/trouble.go
@@ -296,8 +296,8 @@
 	s := p.life.stream
 	waits := s.unread
 	s.unread = nil
-	for _, o := range waits {
-		p.life.apply(s, o)
+	for _, apply := range waits {
+		apply()
 	}
 }
 
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -33,6 +33,7 @@
 	Talk   bool                                                 // pilots may tell each other
 	Keep   bool                                                 // all events are kept in the outcome
 	Log    func(atMs float64, pilot, text string)               // the module's lines; nil: nobody
+	Trace  *Tracer                                              // nil: none; it is for one run
 	Judged bool                                                 // false: no audit, for speed
 }
 
@@ -323,7 +324,7 @@
 
 // clients ask reqs at their times, one drawn after another.
 func (w *World) clients() {
-	load := client.Of(w.Day, rand.New(rand.NewPCG(uint64(w.Day.Seed), 5)))
+	load := client.Of(w.Day)
 	source := client.NewSource(load)
 	name := uint64(0)
 	var next func()
--- a/internal/rehearsal/stage.go
+++ b/internal/rehearsal/stage.go
@@ -472,7 +472,7 @@
 func (s *stage) play(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	load := client.Of(s.Day, s.rnd)
+	load := client.Of(s.Day)
 	var addresses []string
 	for _, p := range s.proxies {
 		addresses = append(addresses, p.Address())
--- a/internal/standin/client/client.go
+++ b/internal/standin/client/client.go
@@ -57,8 +57,10 @@
 	return at >= s.From && (s.For == 0 || at < s.From+s.For)
 }
 
-// Of makes the clients' load of a day and of its troubles. Callers' weights are drawn.
-func Of(d *day.Day, rnd *rand.Rand) Load {
+// Of makes the clients' load of a day and of its troubles. Callers' weights are drawn from the day's seed, the same on
+// sockets and in virtual time.
+func Of(d *day.Day) Load {
+	rnd := rand.New(rand.NewPCG(uint64(d.Seed), 47))
 	l := Load{Rate: d.Rate, Over: d.Length, Retries: d.Retries, Backoff: d.Backoff, Seed: uint64(d.Seed),
 		Keys: d.Slices * day.KeysEach}
 	for _, x := range d.Demands {
