--- a/internal/day/day.go
+++ b/internal/day/day.go
@@ -173,7 +173,7 @@
 }
 
 func (d *Day) fields() []terms.Field {
-	return []terms.Field{{Name: "about", Into: &d.About}, {Name: "length", Into: &d.Length, Least: 1, Most: 3600},
+	return []terms.Field{{Name: "about", Into: &d.About}, {Name: "length", Into: &d.Length, Least: 1, Most: 7 * 86400},
 		{Name: "seed", Into: &d.Seed}, {Name: "like", Into: &d.Like}}
 }
 
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -211,6 +211,50 @@
 	})
 }
 
+// TestLittle holds the mean number in hand, looked at from outside, against rate times time in the system.
+func TestLittle(t *testing.T) {
+	d := one(1, 4, 1e6, "queue", 300, 10, 1, 200*time.Second, "weighted")
+	w := newWorld(Play{Day: d, Bare: true})
+	w.begin()
+	w.clients()
+	sum, looks := 0.0, 0.0
+	for at := 1000.0; at < 200_000; at += 7.3 {
+		w.Until(at)
+		sum, looks = sum+float64(w.machines[0].run.inHand), looks+1
+	}
+	o := w.outcome(0)
+	assert.InEpsilon(t, float64(o.Latency.TotalCount())/200*o.Latency.Mean()/1e6, sum/looks, 0.02)
+}
+
+// TestLong guards days that are long, overloaded without end, or almost without reqs on many endpoints: they end, keep the
+// rules and repeat themselves.
+func TestLong(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		served     float64
+	}{
+		{"two hours of few reqs", "length = \"2h\"\nclients {\n rate = 0.2\n}\nreports {\n period = \"10s\"\n}\nfleet {\n pilots = [\"a\"]\n proxies = [\"a\"]\n}\ntrouble \"drain\" {\n at = \"1h\"\n for = \"10s\"\n who = [\"a-std-0\"]\n}\n", 0.999},
+		{"overload without end", "length = \"20s\"\nclients {\n rate = 2500\n retries = 2\n}\n", 0.05},
+		{"a thousand endpoints and a req now and then", "length = \"20s\"\nclients {\n rate = 2\n}\nendpoints \"std\" {\n zone = \"a\"\n count = 1000\n}\n", 0.999},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var digests []uint64
+			for range 2 {
+				d, err := day.Read("long.hcl", []byte("like = \"quiet\"\n"+c.text))
+				require.NoError(t, err)
+				o, err := Play{Day: d, Judged: true}.Run(t.Context())
+				require.NoError(t, err)
+				assert.True(t, o.Report.Kept(), "%+v", o.Report.Verdicts)
+				assert.GreaterOrEqual(t, o.Report.Service.All.Share(), c.served)
+				digests = append(digests, o.Digest)
+				t.Logf("%d events, service %.3f", o.Done, o.Report.Service.All.Share())
+			}
+			assert.Equal(t, digests[0], digests[1])
+		})
+	}
+}
+
 func avg(list []float64) float64 {
 	sum := 0.0
 	for _, x := range list {
@@ -232,6 +276,20 @@
 	return b / (1 - load/float64(c)*(1-b))
 }
 
+// BenchmarkWholeDay plays 24 virtual hours of one pilot and few reqs.
+func BenchmarkWholeDay(b *testing.B) {
+	d, err := day.Read("whole.hcl", []byte("like = \"quiet\"\nlength = \"24h\"\nclients {\n rate = 0.2\n}\nreports {\n period = \"10s\"\n}\nfleet {\n pilots = [\"a\"]\n proxies = [\"a\"]\n}\n"))
+	require.NoError(b, err)
+	var events uint64
+	for b.Loop() {
+		o, err := Play{Day: d, Judged: true}.Run(b.Context())
+		require.NoError(b, err)
+		require.True(b, o.Report.Kept())
+		events += o.Done
+	}
+	b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+}
+
 // BenchmarkEmulator measures events a second beside a plain loop over the same number of events.
 func BenchmarkEmulator(b *testing.B) {
 	for _, times := range []int{1, 10, 100} {
