Deadlines that nearly all end before cost the emulator no event; curves of latency, load and zones

A queue for each kind of wait holds one event for the first that still counts. Reports show latency by quantile, load by endpoint and by zone beside service by time.

--- a/internal/emulator/proxy.go
+++ b/internal/emulator/proxy.go
@@ -269,7 +269,7 @@
 		wait = min(wait, p.w.firstWait*p.w.targets[u.kind])
 	}
 	t := &try{req: u, name: name, start: p.w.now}
-	p.w.After(wait, func() { li.lost(t) })
+	p.w.waits[u.kind].add(p.w.now+wait, t)
 	li.send(t, wait)
 }
 
@@ -337,8 +337,10 @@
 	t.req.after(wire.Denied)
 }
 
-// lost is a try that got no answer in its time.
-func (li *plainLife) lost(t *try) { li.back(t, nil) }
+func (t *try) isOver() bool { return t.over }
+
+// expire is a try that got no answer in its time.
+func (t *try) expire() { t.req.li.back(t, nil) }
 
 // back takes in how a try ended.
 func (li *plainLife) back(t *try, a *wire.Answer) {
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"os"
 	"runtime"
@@ -17,6 +18,7 @@
 
 	"go.etcd.io/bbolt"
 	"golang.org/x/sync/errgroup"
+	"gonum.org/v1/gonum/stat"
 
 	"indigousher/internal/baseline"
 	"indigousher/internal/emulator"
@@ -42,7 +44,10 @@
 	PilotMs    float64 // real time of pilots' turns a virtual second
 	Events     float64
 	TookMs     float64
-	Text       string // of what broke
+	Text       string             // of what broke
+	Quantiles  []float64          // ms at each of the quantiles
+	Loads      []float64          // busy parts of endpoints at each twentieth, least first
+	Zones      map[string]float64 // mean busy part of each zone's endpoints
 }
 
 // Metric is one figure of a result.
@@ -244,6 +249,10 @@
 			r.Text += fmt.Sprintf("%s: %.2f s %s %s; ", v.Rule, v.Breaches[0].At/1000, v.Breaches[0].Who, v.Breaches[0].Text)
 		}
 	}
+	for _, q := range quantiles {
+		r.Quantiles = append(r.Quantiles, float64(o.Latency.ValueAtQuantile(100*q))/1000)
+	}
+	r.loads(o.Load, o.ZoneOf)
 	returned := 0.0
 	for _, starts := range o.Starts {
 		for _, b := range starts[min(1, len(starts)):] {
@@ -256,6 +265,31 @@
 	return r
 }
 
+// quantiles are those of the curve of latency.
+var quantiles = []float64{0.05, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 0.999}
+
+// loads takes in what endpoints carried.
+func (r *Result) loads(load map[string]float64, zone map[string]string) {
+	if len(load) == 0 {
+		return
+	}
+	var all []float64
+	count := map[string]float64{}
+	r.Zones = map[string]float64{}
+	for _, name := range slices.Sorted(maps.Keys(load)) {
+		all = append(all, load[name])
+		r.Zones[zone[name]] += load[name]
+		count[zone[name]]++
+	}
+	for z := range r.Zones {
+		r.Zones[z] /= count[z]
+	}
+	slices.Sort(all)
+	for i := range 21 {
+		r.Loads = append(r.Loads, stat.Quantile(float64(i)/20, stat.Empirical, all, nil))
+	}
+}
+
 // values returns a metric's values of a cell, by seed, and whether each is there.
 func (t *Table) values(cell int, m Metric) (v []float64, seeds []int) {
 	for seed, r := range t.Results[cell] {
