--- a/deploy/pilot.hcl
+++ b/deploy/pilot.hcl
@@ -95,6 +95,7 @@
 peers {                           # default: none; short notes between pilots over UDP
   # listen    = "127.0.0.1:7402"
   # addresses = { "1" = "127.0.0.1:7412" }  # by rank
+  # secret    = "peers.secret"    # file of keys that seal them; wanted where there are keys (docs/keys.md)
 }
 
 streams {
