One piece of code for how tries follow, for files that change, and for reports between turns

Read again, the change had written some things twice. How many tries follow, how long one waits and when to come back stood in the stand-in proxy and in the emulator: both call follow now. Ring and Secret each looked for changed files: one look serves both. The loop and Handle took reports past Core.Report. The oracle wrapped Handle only to copy a field; a chart used a map as a variable and the table a metric by its place; two methods of the handover's machines were read by nobody.

--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -221,16 +221,10 @@
 func round(w float64) float64 { return math.Exp(math.Round(math.Log(w)*20) / 20) }
 
 // Oracle spreads by the true state, which no pilot can know; whoever runs it tells it the truth and the names.
-type Oracle struct {
-	*policy
-	Tell func(endpoint int) (busy float64, runs bool)
-}
+type Oracle struct{ *policy }
 
-// Handle passes on what it is told.
-func (o *Oracle) Handle(nowMs float64, notes []brain.Note) []brain.Order {
-	o.truth = o.Tell
-	return o.policy.Handle(nowMs, notes)
-}
+// Know tells it where the truth is to be had.
+func (o *Oracle) Know(truth func(endpoint int) (busy float64, runs bool)) { o.truth = truth }
 
 // oracle gives weight by the room that there truly is.
 func (p *policy) oracle(int) map[int]float64 {
--- a/internal/emulator/pilot.go
+++ b/internal/emulator/pilot.go
@@ -81,7 +81,7 @@
 		r.core = pilot.NewCore(plan)
 	}
 	if o, is := plan.Decider.(*baseline.Oracle); is {
-		o.Tell = func(i int) (float64, bool) { return w.truth(r.core.EndpointName(i)) }
+		o.Know(func(i int) (float64, bool) { return w.truth(r.core.EndpointName(i)) })
 	}
 	s.Starts = append(s.Starts, begin)
 	number := len(s.Starts) - 1
--- a/internal/emulator/proxy.go
+++ b/internal/emulator/proxy.go
@@ -67,9 +67,6 @@
 // dialTimeoutMs is how long a proxy waits for a connection to an endpoint.
 const dialTimeoutMs = 250
 
-// comeBackMs is told with a req that is given up.
-const comeBackMs = 300
-
 func (p *plain) start() {
 	p.boots++
 	li := &plainLife{p: p, follow: follow.NewFollower(p.habits, p.w.standing(p.place.zone), p.seed+uint64(p.boots)),
@@ -243,7 +240,7 @@
 	li.follow.Came(kind, req.Key)
 	if !li.follow.Admit(kind) {
 		p.w.note(p.place.name, trail.Event{What: trail.Refuse, Kind: req.Kind, Req: req.Name, Text: "level"})
-		answer(&wire.Answer{Outcome: wire.Denied, ComeBackMs: comeBackMs})
+		answer(&wire.Answer{Outcome: wire.Denied, ComeBackMs: follow.ComeBackMs})
 		return
 	}
 	u := &reqUnder{li: li, req: req, kind: kind, answer: answer, until: p.w.now + min(limit, p.w.limits[kind])}
@@ -263,11 +260,7 @@
 	u.tried = append(u.tried, name)
 	p.w.note(p.place.name, trail.Event{What: trail.Send, Peer: name, Kind: u.req.Kind, Req: u.req.Name, Text: u.req.Key, N: len(u.tried)})
 	p.w.Tries++
-	again := li.follow.Again(u.kind)
-	wait := u.until - p.w.now
-	if again >= 2 && len(u.tried) < again {
-		wait = min(wait, p.w.firstWait*p.w.targets[u.kind])
-	}
+	wait := follow.Patience(li.follow.Again(u.kind), len(u.tried), u.until-p.w.now, p.w.firstWait*p.w.targets[u.kind])
 	t := &try{req: u, name: name, start: p.w.now}
 	p.w.waits[u.kind].add(p.w.now+wait, t)
 	li.send(t, wait)
@@ -369,9 +362,7 @@
 	}
 	proof := outcome == wire.Denied
 	u.ran = u.ran || !proof
-	again := u.li.follow.Again(u.kind)
-	most := [...]int{1, 2, 2, 3}[again]
-	if len(u.tried) >= most || again == 1 && !proof || w.now >= u.until-1e-6 || u.li.p.life != u.li {
+	if !follow.TryFollows(u.li.follow.Again(u.kind), len(u.tried), proof) || w.now >= u.until-1e-6 || u.li.p.life != u.li {
 		u.end()
 		return
 	}
@@ -380,7 +371,7 @@
 
 func (u *reqUnder) end() {
 	if !u.ran {
-		u.answer(&wire.Answer{Outcome: wire.Denied, ComeBackMs: comeBackMs})
+		u.answer(&wire.Answer{Outcome: wire.Denied, ComeBackMs: follow.ComeBackMs})
 		return
 	}
 	u.li.follow.Unanswered(u.kind, u.req.Key)
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -67,7 +67,7 @@
 			row.Cells = append(row.Cells, t.Figure(i, m).String())
 		}
 		row.Cells = append(row.Cells, t.Beside(i, Metrics[0]).String())
-		row.Broken = t.Figure(i, Metrics[10]).Mean > 0
+		row.Broken = t.Figure(i, broken).Mean > 0
 		view.Rows = append(view.Rows, row)
 	}
 	charts, err := t.charts()
@@ -121,7 +121,8 @@
 	if first > 0 && last/first >= 10 {
 		p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 	}
-	differs, seen := false, map[string]float64{}
+	differs := false
+	var met []float64
 	for n, policy := range t.Plan.Policies {
 		var points plotter.XYs
 		var bars plotter.YErrors
@@ -135,10 +136,8 @@
 			}
 			points = append(points, plotter.XY{X: c.Levels[0], Y: g.Mean})
 			bars = append(bars, struct{ Low, High float64 }{g.Half, g.Half})
-			was, is := seen["first"]
-			if differs = differs || is && was != g.Mean; !is {
-				seen["first"] = g.Mean
-			}
+			met = append(met, g.Mean)
+			differs = differs || g.Mean != met[0]
 		}
 		if len(points) == 0 {
 			continue
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -83,6 +83,8 @@
 // Files are where a ring's keys lie.
 type Files struct{ Authority, Certificate, Key string }
 
+func (f Files) list() []string { return []string{f.Authority, f.Certificate, f.Key} }
+
 // Ring holds one's own certificate and the authority that others are checked against. Files that change are read anew
 // at the next handshake; wrong ones leave the old in force.
 type Ring struct {
@@ -91,9 +93,7 @@
 	mu      sync.Mutex
 	cert    *tls.Certificate
 	pool    *x509.CertPool
-	stamp   time.Time
-	looked  time.Time
-	wrong   error
+	seen    look
 }
 
 // lookEvery is how often files are looked at.
@@ -108,8 +108,29 @@
 	return r, nil
 }
 
-func (r *Ring) newest() (t time.Time, err error) {
-	for _, f := range []string{r.files.Authority, r.files.Certificate, r.files.Key} {
+// look notices files that have changed since they were read.
+type look struct {
+	stamp  time.Time // of the newest of them when they were read
+	looked time.Time
+	wrong  error // with what they are now
+}
+
+// anew reads files again, if they have changed and were not looked at just now.
+func (l *look) anew(read func() error, files ...string) {
+	if time.Since(l.looked) <= lookEvery {
+		return
+	}
+	l.looked = time.Now()
+	if stamp, err := newest(files...); err != nil {
+		l.wrong = err
+	} else if !stamp.Equal(l.stamp) {
+		l.wrong = read()
+	}
+}
+
+// newest returns when the last of some files was changed.
+func newest(files ...string) (t time.Time, err error) {
+	for _, f := range files {
 		s, err := os.Stat(f)
 		if err != nil {
 			return t, fmt.Errorf("keys: %w", err)
@@ -122,7 +143,7 @@
 }
 
 func (r *Ring) read() error {
-	stamp, err := r.newest()
+	stamp, err := newest(r.files.list()...)
 	if err != nil {
 		return err
 	}
@@ -146,7 +167,7 @@
 	if !pool.AppendCertsFromPEM(pem) {
 		return fmt.Errorf("keys: %s holds no certificate", r.files.Authority)
 	}
-	r.cert, r.pool, r.stamp = &cert, pool, stamp
+	r.cert, r.pool, r.seen.stamp = &cert, pool, stamp
 	return nil
 }
 
@@ -154,14 +175,7 @@
 func (r *Ring) now() (*tls.Certificate, *x509.CertPool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if time.Since(r.looked) > lookEvery {
-		r.looked = time.Now()
-		if stamp, err := r.newest(); err != nil {
-			r.wrong = err
-		} else if !stamp.Equal(r.stamp) {
-			r.wrong = r.read()
-		}
-	}
+	r.seen.anew(r.read, r.files.list()...)
 	return r.cert, r.pool
 }
 
@@ -170,7 +184,7 @@
 	r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.wrong
+	return r.seen.wrong
 }
 
 // Expires returns when one's own certificate ends.
--- a/internal/keys/secret.go
+++ b/internal/keys/secret.go
@@ -20,13 +20,11 @@
 // a line in hex, the newest first: that one seals, any of them opens, so a key is changed by adding the new one at the
 // end everywhere, then moving it up, then taking the old one away. A changed file is read at the next message.
 type Secret struct {
-	path   string
-	mu     sync.Mutex
-	boxes  []cipher.AEAD
-	stamp  time.Time
-	looked time.Time
-	wrong  error
-	last   uint64
+	path  string
+	mu    sync.Mutex
+	boxes []cipher.AEAD
+	seen  look
+	last  uint64
 }
 
 // Limits of sealing.
@@ -59,7 +57,7 @@
 }
 
 func (s *Secret) read() error {
-	info, err := os.Stat(s.path)
+	stamp, err := newest(s.path)
 	if err != nil {
 		return fmt.Errorf("secret: %w", err)
 	}
@@ -91,20 +89,13 @@
 	if len(boxes) == 0 || len(boxes) > secretsMost {
 		return fmt.Errorf("secret: %s holds %d keys, wanted are 1 to %d", s.path, len(boxes), secretsMost)
 	}
-	s.boxes, s.stamp = boxes, info.ModTime()
+	s.boxes, s.seen.stamp = boxes, stamp
 	return nil
 }
 
 // now returns the keys in force, after a look at the file.
 func (s *Secret) now() []cipher.AEAD {
-	if time.Since(s.looked) > lookEvery {
-		s.looked = time.Now()
-		if info, err := os.Stat(s.path); err != nil {
-			s.wrong = err
-		} else if !info.ModTime().Equal(s.stamp) {
-			s.wrong = s.read()
-		}
-	}
+	s.seen.anew(s.read, s.path)
 	return s.boxes
 }
 
@@ -113,7 +104,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.now()
-	return s.wrong
+	return s.seen.wrong
 }
 
 // Seal closes a message behind b. Outside is not hidden but can't be changed either. Each message carries a number
--- a/internal/pilot/core.go
+++ b/internal/pilot/core.go
@@ -276,7 +276,7 @@
 			return append(notes, c.drop(s))
 		}
 	case Reported: // on sockets the loop hands it to the gate at once
-		c.gate.take(c.now, in.Stream, in.Sums)
+		c.Report(c.now, in.Stream, in.Sums)
 	case Applied:
 		if s := c.streams[in.Stream]; s != nil {
 			return append(notes, brain.Applied{Proxy: s.proxy, Number: in.Done.Mark, TookMs: in.Done.TookMs})
@@ -642,7 +642,7 @@
 	return l
 }
 
-// Report takes a proxy's sums in between turns, as Loop.Post does; the intake passes them on when its period is over.
+// Report takes a proxy's sums, also in between turns; the intake passes them on when its period is over.
 func (c *Core) Report(nowMs float64, s Stream, sums *wire.Sums) { c.gate.take(nowMs, s, sums) }
 
 // EndpointName returns the name behind an index of the module's.
--- a/internal/pilot/loop.go
+++ b/internal/pilot/loop.go
@@ -71,7 +71,7 @@
 // its own connection; it ends with ctx. Reports don't pass the inbox: they are taken in where they are read.
 func (l *Loop) Post(ctx context.Context, in Input) error {
 	if r, ok := in.(Reported); ok {
-		l.core.gate.take(l.nowMs(), r.Stream, r.Sums)
+		l.core.Report(l.nowMs(), r.Stream, r.Sums)
 		return nil
 	}
 	select {
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -370,9 +370,6 @@
 	}
 }
 
-// comeBackMs is told with a req that is given up.
-const comeBackMs = 300
-
 // handle takes one req through its tries.
 func (p *Proxy) handle(li *life, req *wire.Req) *wire.Answer {
 	kind := slices.Index(p.Habits.Kinds, req.Kind)
@@ -388,7 +385,7 @@
 	li.still.RUnlock()
 	if !admitted {
 		p.book.Add(trail.Event{What: trail.Refuse, Kind: req.Kind, Req: req.Name, Text: "level"})
-		return &wire.Answer{Outcome: wire.Denied, ComeBackMs: comeBackMs}
+		return &wire.Answer{Outcome: wire.Denied, ComeBackMs: follow.ComeBackMs}
 	}
 	var tried []string
 	ran := false
@@ -405,13 +402,12 @@
 		}
 		proof := errors.Is(err, errNever) || err == nil && a.Outcome == wire.Denied
 		ran = ran || !proof
-		most := map[int]int{0: 1, 1: 2, 2: 2, 3: 3}[again]
-		if len(tried) >= most || again == 1 && !proof || !time.Now().Before(until) || li.ctx.Err() != nil {
+		if !follow.TryFollows(again, len(tried), proof) || !time.Now().Before(until) || li.ctx.Err() != nil {
 			break
 		}
 	}
 	if !ran {
-		return &wire.Answer{Outcome: wire.Denied, ComeBackMs: comeBackMs}
+		return &wire.Answer{Outcome: wire.Denied, ComeBackMs: follow.ComeBackMs}
 	}
 	li.mu.Lock()
 	li.follow.Unanswered(kind, req.Key)
@@ -436,11 +432,7 @@
 
 // patience is how long a try waits: what is left, less where another may follow.
 func (p *Proxy) patience(again, kind, try int, until time.Time) time.Duration {
-	left := time.Until(until)
-	if again >= 2 && try < again {
-		return min(left, time.Duration(p.FirstWait*float64(p.Targets[kind])))
-	}
-	return left
+	return follow.Patience(again, try, time.Until(until), time.Duration(p.FirstWait*float64(p.Targets[kind])))
 }
 
 // errNever proves that a try never ran.
--- a/recovery/handover.go
+++ b/recovery/handover.go
@@ -64,9 +64,6 @@
 	Patience int
 }
 
-// Busy returns whether a handover is under way.
-func (o *Old) Busy() bool { return o.at != serving }
-
 // Gone returns whether the other process serves now.
 func (o *Old) Gone() bool { return o.at == over }
 
@@ -110,9 +107,6 @@
 // NewSide returns the machine of a process that has asked to take over.
 func NewSide() *New { return &New{asking} }
 
-// Serves returns whether it holds the pilot.
-func (n *New) Serves() bool { return n.at == serving }
-
 // Next takes in an event and returns what to do.
 func (n *New) Next(e Event) Act {
 	switch {
