Figures that parse but overflow no longer make not-a-number of tables

Seven of its cases ended with tables of not-a-number at all proxies of a zone, for good: the penalty of the endpoint never came back, framed proxies refused the frame and lost their streams. An eighth wiped a zone's table at every proxy with a slice that the terms do not tell of. Ruled out: the module's settings (checked when read) and reports' counts (the intake refuses them).

The interface of the module now says what a figure may be (MostFigure), the runtime holds every note to it: a rate beyond it refuses the hello, a figure is left out and counted, a weight keeps its last value while the phase still counts. A slice must be one of the terms'. An answer to a mark counts only if that mark was sent to that proxy.

--- a/brain/port.go
+++ b/brain/port.go
@@ -6,6 +6,16 @@
 // Note is something the pilot learned; one of the types below.
 type Note any
 
+// MostFigure bounds every weight, rate and figure of a load report that a note may carry. Beyond it sums of a few
+// overflow, and one infinity makes not-a-number of all weights that it touches, for good.
+const MostFigure = 1e9
+
+// Sound returns whether a rate or a figure of a load report may stand in a note.
+func Sound(v float64) bool { return v >= 0 && v <= MostFigure }
+
+// SoundWeight returns whether a weight may: 0, which says nothing, or one that others can be held against.
+func SoundWeight(v float64) bool { return v == 0 || v >= 1/MostFigure && v <= MostFigure }
+
 // Phase is what the list says of an endpoint's process.
 type Phase int
 
--- a/internal/pilot/core.go
+++ b/internal/pilot/core.go
@@ -130,8 +130,15 @@
 	tables      map[int]map[string]float64 // that it said it has and that are not bound anew
 	pending     *wire.Orders               // message of the Handle under way
 	recent      []float64                  // when messages left to it lately
+	marks       []int                      // sent to it and not answered, oldest first
 }
 
+// oddFigure counts what can be no figure of a load report.
+const oddFigure = "figure of a load report out of range"
+
+// mostMarks bounds the marks that a proxy may owe an answer to; what it owes beyond them is forgotten, oldest first.
+const mostMarks = 1024
+
 // Core holds what the orders so far amount to. It is used by one goroutine.
 type Core struct {
 	plan                              Plan
@@ -278,7 +285,7 @@
 	case Reported: // on sockets the loop hands it to the gate at once
 		c.Report(c.now, in.Stream, in.Sums)
 	case Applied:
-		if s := c.streams[in.Stream]; s != nil {
+		if s := c.streams[in.Stream]; s != nil && s.answers(in.Done.Mark) {
 			return append(notes, brain.Applied{Proxy: s.proxy, Number: in.Done.Mark, TookMs: in.Done.TookMs})
 		}
 	case Listed:
@@ -290,7 +297,7 @@
 	case Probed:
 		if i, known := c.endpoints.find(in.Endpoint); known {
 			return append(notes, brain.Probed{Endpoint: i, OK: in.Outcome == "ok", Outcome: in.Outcome,
-				TookMs: in.TookMs, Load: load(in.Load)})
+				TookMs: in.TookMs, Load: load(in.Load, func(f wire.Figure) { c.odd(oddFigure, f.Name, fmt.Sprint(f.Value)) })})
 		}
 	case Told:
 		c.told = append(c.told, in.Notes...)
@@ -303,6 +310,17 @@
 	return notes
 }
 
+// answers returns whether a mark was sent to a proxy and not answered yet. Were any number taken, a proxy that makes
+// them up would have the module believe that its channel is empty.
+func (s *session) answers(mark int) bool {
+	i := slices.Index(s.marks, mark)
+	if i < 0 {
+		return false
+	}
+	s.marks = slices.Delete(s.marks, i, i+1)
+	return true
+}
+
 // join takes in a stream. One under the same name is ended first: the newer one is the one that lives.
 func (c *Core) join(notes []brain.Note, in Join) []brain.Note {
 	zone, known := c.zones.find(in.Hello.Zone)
@@ -311,6 +329,11 @@
 		in.Stream.Close("unknown zone")
 		return notes
 	}
+	if !brain.Sound(in.Hello.Rate) {
+		c.odd("rate out of range", in.Hello.Proxy, fmt.Sprint(in.Hello.Rate))
+		in.Stream.Close("rate out of range")
+		return notes
+	}
 	proxy, known := c.proxies.find(in.Hello.Proxy)
 	if !known {
 		if c.proxies.len() >= c.plan.MostProxies {
@@ -364,11 +387,11 @@
 // listing turns list entries into a note. A start is told as its age on this pilot's clock when its stamp was first
 // seen, and stays so: the module takes any other figure for a restart.
 func (c *Core) listing(l *wire.List) brain.Note {
-	out, named := brain.Listing{Mode: brain.Changes, Version: l.Version}, map[int]bool{}
+	out, named, before := brain.Listing{Mode: brain.Changes, Version: l.Version}, map[int]bool{}, c.listed
 	c.listVersion, c.listNow, c.listAt = l.Version, l.Now, c.now
 	if l.Whole {
 		out.Mode = brain.Whole
-		clear(c.listed)
+		c.listed = map[string]wire.Entry{}
 	}
 	for _, e := range l.Entries {
 		zone, known := c.zones.find(e.Zone)
@@ -376,6 +399,10 @@
 			c.odd("endpoint of an unknown zone", e.Endpoint, e.Zone)
 			continue
 		}
+		if !brain.SoundWeight(e.Weight) { // its phase counts all the same: a drain is not lost over a wrong weight
+			c.odd("weight out of range", e.Endpoint, fmt.Sprint(e.Weight))
+			e.Weight = before[e.Endpoint].Weight
+		}
 		if c.listed[e.Endpoint] = e; e.Phase == wire.PhaseGone {
 			delete(c.listed, e.Endpoint)
 		}
@@ -401,8 +428,13 @@
 }
 
 // slice turns a slice that is given or taken into notes: its charge, and the lines stored of it. Proxies learn the range
-// of its keys and the stored lines, which stand until the module orders others.
+// of its keys and the stored lines, which stand until the module orders others. A slice's number is that of its table, so
+// one that the deployment does not have would wipe a zone's table at every proxy.
 func (c *Core) slice(notes []brain.Note, x *wire.Slices) []brain.Note {
+	if most, _ := c.plan.Terms["slices"].(float64); float64(x.Slice) >= most {
+		c.odd("slice that the terms do not tell of", fmt.Sprint(x.Slice))
+		return notes
+	}
 	c.gate.slice(x.Slice, x.Given)
 	delete(c.tables, x.Slice)
 	if delete(c.slices, x.Slice); x.Given {
@@ -410,11 +442,11 @@
 	}
 	notes = append(notes, brain.SliceCharge{Slice: x.Slice, Given: x.Given})
 	for _, l := range x.Lines {
-		if i, known := c.endpoints.find(l.Endpoint); known && x.Given {
+		if i, known := c.endpoints.find(l.Endpoint); known && x.Given && brain.SoundWeight(l.Weight) {
 			notes = append(notes, brain.SliceLine{Slice: x.Slice, Endpoint: i, Weight: l.Weight})
 			c.table(x.Slice).lines[i] = l.Weight
 		} else {
-			c.odd("stored line of an unknown endpoint", l.Endpoint)
+			c.odd("stored line of an unknown endpoint or weight", l.Endpoint, fmt.Sprint(l.Weight))
 		}
 	}
 	for _, s := range c.inOrder() {
@@ -452,6 +484,8 @@
 		for _, s := range c.inOrder() {
 			if s.pending != nil || o.All {
 				c.write(s, wire.Op{Kind: wire.OpMark, Number: o.Number})
+				s.marks = append(s.marks, o.Number)
+				s.marks = s.marks[max(0, len(s.marks)-mostMarks):]
 			}
 		}
 	case brain.Probe:
@@ -630,13 +664,17 @@
 	c.plan.Odd(what, fields...)
 }
 
-// load turns a load report into the module's.
-func load(figures []wire.Figure) brain.Load {
+// load turns a load report into the module's. Figures that none can be are left out and said to wrong.
+func load(figures []wire.Figure, wrong func(f wire.Figure)) brain.Load {
 	if len(figures) == 0 {
 		return nil
 	}
 	l := make(brain.Load, len(figures))
 	for _, f := range figures {
+		if !brain.Sound(f.Value) {
+			wrong(f)
+			continue
+		}
 		l[f.Name] = f.Value
 	}
 	return l
--- a/internal/pilot/core_test.go
+++ b/internal/pilot/core_test.go
@@ -64,7 +64,7 @@
 }
 
 func plan(d Decider, edge *fake) Plan {
-	return Plan{Decider: d, Terms: map[string]any{}, Zones: []string{"a", "b"}, Machines: []string{"std"},
+	return Plan{Decider: d, Terms: map[string]any{"slices": 16.0}, Zones: []string{"a", "b"}, Machines: []string{"std"},
 		Kinds: []string{"read", "book"}, HeadLines: 4, Intake: intake.Terms{PeriodMs: 1000, HalfMs: 1e9, LongestMs: 60000}, MostProxies: 3, MessagesOverMs: 10000, List: edge,
 		Prober: edge, Peers: edge, Log: func(t string) { edge.calls = append(edge.calls, "log "+t) },
 		Odd: func(what string, _ ...string) { edge.calls = append(edge.calls, "odd "+what) }}
@@ -84,13 +84,13 @@
 
 // TestNotes shows that every note of the module's interface has a source.
 func TestNotes(t *testing.T) {
-	d, edge, stream := &script{orders: [][]brain.Order{{brain.WakeAt{AtMs: 150, Name: "bell"}}}}, &fake{}, &fake{}
+	d, edge, stream := &script{orders: [][]brain.Order{{brain.WakeAt{AtMs: 150, Name: "bell"}}, nil, {brain.Mark{Number: 9, All: true}}}}, &fake{}, &fake{}
 	c := NewCore(plan(d, edge))
 	c.Handle(0, nil)
 	c.Handle(100, []Input{listed(true, entry("x", 0), entry("y", 4000)), Join{stream, hello("p", "b")}})
 	c.Handle(160, nil)
 	c.Handle(1200, []Input{
-		listed(false, entry("y", 4000)), ListLost{}, Heard{3, "hi"}, Applied{stream, wire.Done{Mark: 9, TookMs: 2}},
+		listed(false, entry("y", 4000)), ListLost{}, Heard{3, "hi"}, Applied{stream, wire.Done{Mark: 9, TookMs: 2}}, Applied{stream, wire.Done{Mark: 9}}, Applied{stream, wire.Done{Mark: 8}},
 		Probed{"x", "ok", 5, []wire.Figure{{Name: "util", Value: 0.5}}},
 		Reported{stream, &wire.Sums{Seq: 1, SpanMs: 500, Met: []wire.Met{{Endpoint: "x", Tries: 4, Failed: 1, MeanMs: 20},
 			{Endpoint: "never listed", Tries: 1}}, Demand: []wire.Demand{{Kind: "book", Reqs: 5, Unanswered: 1}}}}})
--- a/internal/pilot/gate.go
+++ b/internal/pilot/gate.go
@@ -171,7 +171,7 @@
 	told := g.in.Tell(nowMs, span)
 	g.lastMs = nowMs
 	for i := range told.Mets {
-		notes = append(notes, told.Mets[i].Note(load(told.Mets[i].Load)))
+		notes = append(notes, told.Mets[i].Note(load(told.Mets[i].Load, func(wire.Figure) { g.unknown[oddFigure]++ })))
 	}
 	for _, d := range told.Demands {
 		notes = append(notes, d)
--- /dev/null
+++ b/internal/pilot/hostile_test.go
@@ -0,0 +1,140 @@
+package pilot
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"indigousher/internal/wire"
+)
+
+// witness is a well-behaved proxy that keeps what crossed to it.
+type witness struct {
+	villager
+	got []*wire.Orders
+}
+
+func (w *witness) Send(m *wire.Orders) error {
+	w.got = append(w.got, m)
+	return w.villager.Send(m)
+}
+
+// TestHostile guards all that is decided for good proxies against one peer whose messages parse but mean harm: whatever
+// it says, what crosses to the others has sound weights and levels, they keep lines, and the module goes on.
+func TestHostile(t *testing.T) {
+	huge, nan, inf := 1e308, math.NaN(), math.Inf(1)
+	met := func(change func(s *wire.Sums, m *wire.Met)) func(*town, *fake) {
+		return func(w *town, bad *fake) {
+			w.handle(Join{bad, wire.Hello{Proxy: "bad", Zone: "a", Rate: 2}})
+			for i := range 6 {
+				s := &wire.Sums{Seq: uint64(i + 1), AtMs: w.now, SpanMs: 1000}
+				for e := range 9 {
+					m := wire.Met{Endpoint: fmt.Sprint("e", e), Tries: 9, MeanMs: 20, Load: []wire.Figure{{Name: "util", Value: 0.4}}}
+					change(s, &m)
+					s.Met = append(s.Met, m)
+				}
+				w.handle(Reported{bad, s})
+				w.until(w.now + 1000)
+			}
+		}
+	}
+	load := func(name string, v float64) func(*town, *fake) {
+		return met(func(_ *wire.Sums, m *wire.Met) { m.Load = []wire.Figure{{Name: name, Value: v}} })
+	}
+	rate := func(v float64) func(*town, *fake) {
+		return func(w *town, bad *fake) { w.handle(Join{bad, wire.Hello{Proxy: "bad", Zone: "a", Rate: v}}) }
+	}
+	list := func(change func(e *wire.Entry)) func(*town, *fake) {
+		return func(w *town, _ *fake) {
+			e := wire.Entry{Endpoint: "e1", Zone: "b", Machine: "std", Weight: 1}
+			change(&e)
+			w.handle(listed(false, e))
+		}
+	}
+	for name, harm := range map[string]func(*town, *fake){
+		"rate not a number": rate(nan), "rate infinite": rate(inf), "rate huge": rate(huge), "rate negative": rate(-huge),
+		"load not a number": load("util", nan), "load infinite": load("util", inf), "load huge": load("util", huge),
+		"load negative": load("util", -huge), "queue infinite": load("waiting", inf), "queue huge": load("waiting", huge),
+		"queue negative": load("in_hand", -1), "served huge": load("rate", huge),
+		"mean huge":        met(func(_ *wire.Sums, m *wire.Met) { m.MeanMs = huge }),
+		"mean no number":   met(func(_ *wire.Sums, m *wire.Met) { m.MeanMs = nan }),
+		"no span":          met(func(s *wire.Sums, _ *wire.Met) { s.SpanMs = 5e-324 }),
+		"span infinite":    met(func(s *wire.Sums, _ *wire.Met) { s.SpanMs = inf }),
+		"far future":       met(func(s *wire.Sums, _ *wire.Met) { s.AtMs = huge }),
+		"last sequence":    met(func(s *wire.Sums, _ *wire.Met) { s.Seq = math.MaxUint64 }),
+		"tries at end":     met(func(_ *wire.Sums, m *wire.Met) { m.Tries, m.Failed = math.MaxInt32, math.MaxInt32 }),
+		"failed above":     met(func(_ *wire.Sums, m *wire.Met) { m.Failed = m.Tries + 1 }),
+		"negative tries":   met(func(_ *wire.Sums, m *wire.Met) { m.Tries, m.Failed = -5, -9 }),
+		"weight huge":      list(func(e *wire.Entry) { e.Weight = huge }),
+		"weight infinite":  list(func(e *wire.Entry) { e.Weight = inf }),
+		"weight no number": list(func(e *wire.Entry) { e.Weight = nan }),
+		"weight negative":  list(func(e *wire.Entry) { e.Weight = -1 }),
+		"weight least":     list(func(e *wire.Entry) { e.Weight = 5e-324 }),
+		"start at end":     list(func(e *wire.Entry) { e.Started = math.MaxUint64 }),
+		"start just past":  list(func(e *wire.Entry) { e.Started = 1 }),
+		"cell at end":      list(func(e *wire.Entry) { e.Cell = math.MaxInt32 }),
+		"probe's load":     func(w *town, _ *fake) { w.handle(Probed{"e1", "ok", huge, []wire.Figure{{Name: "util", Value: inf}}}) },
+		"marks that never were": func(w *town, bad *fake) {
+			w.handle(Join{bad, wire.Hello{Proxy: "bad", Zone: "a", Rate: 2}})
+			for n := range 70000 {
+				w.handle(Applied{bad, wire.Done{Mark: n}})
+			}
+		},
+		"a slice where there are none": func(w *town, _ *fake) {
+			for n := range 3 {
+				w.handle(SliceGiven{&wire.Slices{Slice: n, Given: true}})
+			}
+			w.handle(SliceGiven{&wire.Slices{Slice: wire.EveryTable, Given: true}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, entries := newTown(9, 0, 1000, 1500, 2000)
+			var good []*witness
+			for i := range 6 {
+				v := &witness{villager: villager{t: w, name: fmt.Sprint("p", i), zone: []string{"a", "b", "c"}[i%3]}}
+				good = append(good, v)
+			}
+			w.greet(good, entries)
+			w.until(8000)
+			harm(w, &fake{})
+			before := len(good[0].got)
+			w.until(w.now + 12000)
+			assert.GreaterOrEqual(t, len(good[0].got), before)
+			assert.LessOrEqual(t, w.core.Channel.MostSeen, 1500)
+			for _, v := range good {
+				for _, m := range v.got {
+					for _, op := range m.Ops {
+						require.False(t, math.IsNaN(op.Weight) || op.Weight < 0 || op.Weight > 1, "%s got %+v", v.name, op)
+					}
+				}
+				open := 0
+				for e := range 9 {
+					if v.follow.Open(0, fmt.Sprint("e", e)) {
+						open++
+					}
+				}
+				assert.Greater(t, open, 2, "lines of %s", v.name)
+			}
+			// a drain still goes through
+			e := entries[4]
+			e.Phase = wire.PhaseDraining
+			w.handle(listed(false, e))
+			w.until(w.now + 2000)
+			for _, v := range good {
+				assert.False(t, v.follow.Open(0, "e4"), "%s after a drain", v.name)
+			}
+		})
+	}
+}
+
+// greet lets witnesses in.
+func (t *town) greet(some []*witness, entries []wire.Entry) {
+	for _, v := range some {
+		plain := &v.villager
+		t.join([]*villager{plain}, entries) // makes its follower
+		t.handle(Leave{plain}, Join{v, wire.Hello{Proxy: v.name, Zone: v.zone, Rate: 2, Fresh: true}})
+	}
+}
