The adapter bounds its lines and holds figures to the module's interface

Need: its standard input was the one reader without a bound, and a figure of 1e308 ended the process: the reply could not be encoded. Lines end at 64 MiB, rates and weights out of range are errors that name the line and event, load figures are left out.

--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -78,12 +78,32 @@
 	Orders []map[string]any `json:"orders"`
 }
 
+// longest bounds a line of input in bytes.
+const longest = 1 << 26
+
+// errLong says that a line passes the bound.
+var errLong = fmt.Errorf("line longer than %d bytes", longest)
+
+// readLine reads up to a line's end, or as much as is left.
+func readLine(r *bufio.Reader) (line []byte, err error) {
+	for {
+		part, err := r.ReadSlice('\n')
+		if len(line)+len(part) > longest {
+			return nil, errLong
+		}
+		line = append(line, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
+
 // Serve answers batches from in on out until the input ends.
 func Serve(in io.Reader, out io.Writer) error {
 	h := &host{pilots: map[string]*pilot{}}
 	r, w := bufio.NewReaderSize(in, 1<<20), bufio.NewWriter(out)
 	for line := 1; ; line++ {
-		text, err := r.ReadBytes('\n')
+		text, err := readLine(r)
 		if len(bytes.TrimSpace(text)) > 0 {
 			if err := h.answer(text, w); err != nil {
 				return fmt.Errorf("line %d: %w", line, err)
@@ -262,7 +282,9 @@
 	}
 	l := make(brain.Load, len(values))
 	for k, v := range values {
-		l[word(k)] = v
+		if brain.Sound(v) {
+			l[word(k)] = v
+		}
 	}
 	return l
 }
@@ -280,6 +302,9 @@
 	case "peer":
 		return brain.Gossip{From: e.By, Text: e.Contents}, nil
 	case "stream_up":
+		if !brain.Sound(e.Heft) {
+			return nil, fmt.Errorf("rate %g of proxy %d is out of range", e.Heft, e.Edge)
+		}
 		return brain.Joined{Proxy: e.Edge, Zone: p.zones.in(e.Zone), Rate: e.Heft, Fresh: e.Active}, nil
 	case "stream_down":
 		return brain.Left{Proxy: e.Edge}, nil
@@ -317,6 +342,9 @@
 		if !ok {
 			return nil, fmt.Errorf("unknown state %q of endpoint %q", h.Mode, h.Endpoint)
 		}
+		if !brain.SoundWeight(h.Heft) {
+			return nil, fmt.Errorf("weight %g of endpoint %q is out of range", h.Heft, h.Endpoint)
+		}
 		entry := brain.Entry{Endpoint: p.endpoints.in(h.Endpoint), Zone: p.zones.in(h.Zone),
 			Machine: p.models.in(h.Machine), Cell: h.Cell, Phase: phase, Weight: h.Heft}
 		if h.Launched != 0 {
