A text that nests too deep, is too long or half written no longer harms a pilot

All HCL now passes one bounded reader (16 MiB, 200 deep, 10,000 signs, lists of 4,096). Names, weights, repeats and numbers without a bound of their own are checked, with line and column.

--- a/cmd/indigousher/records.go
+++ b/cmd/indigousher/records.go
@@ -56,7 +56,7 @@
 	}
 	var other map[string]any
 	if with != "" {
-		t, err := terms.ReadFile(with)
+		t, err := terms.ReadPilot(with)
 		if err != nil {
 			return err
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"indigousher/brain"
@@ -158,7 +159,7 @@
 	if t.ListAddress != "" {
 		d.source = list.NewStream(t.Name, t.ListAddress, d.outfit.Dial, later{d}, t.ListSilence, d.outfit.Log.Named("list"))
 	} else {
-		d.source = list.NewFile(t.ListFile, terms.ParseList, later{d}, d.outfit.Log.Named("list"))
+		d.source = list.NewFile(t.ListFile, terms.ReadList, later{d}, d.outfit.Log.Named("list"))
 	}
 	notes, err := d.openPeers(t)
 	if err != nil {
@@ -206,6 +207,7 @@
 		if err := d.keep("grpc", d.grpc); err != nil {
 			return err
 		}
+		d.grpc = netutil.LimitListener(d.grpc, 2*t.MaxStreams) // a proxy of xDS may report its load on a second one
 		d.follow = grpcedge.New(grpcedge.Door{Pilot: t.Name, Beat: t.Beat, Period: t.Period,
 			SeenWithin: t.SeenWithin, HelloIn: t.HelloDeadline, MaxMessage: t.MaxFrame, MaxStreams: t.MaxStreams,
 			QueueLines: t.Queue * linesEach, NewPerS: t.NewPerS, Keys: d.ring}, d.loop, log.Named("grpc"))
@@ -214,7 +216,7 @@
 			claims = grpcedge.Claims
 		}
 		d.xds = xdsedge.New(xdsedge.Door{Kinds: t.KindNames(), Period: t.Period, SeenWithin: t.SeenWithin,
-			MaxStreams: t.MaxStreams, Claims: claims}, d.loop, log.Named("xds"))
+			HelloIn: t.HelloDeadline, MaxStreams: t.MaxStreams, Claims: claims}, d.loop, log.Named("xds"))
 		d.xds.Register(d.follow.Registrar())
 	}
 	d.server = framed.NewServer(framed.Door{Pilot: t.Name, Beat: t.Beat, Period: t.Period,
--- a/internal/day/day.go
+++ b/internal/day/day.go
@@ -9,7 +9,6 @@
 	"io/fs"
 	"math"
 	"math/rand/v2"
-	"os"
 	"path"
 	"slices"
 	"strings"
@@ -282,7 +281,7 @@
 		}
 		return Read("days/"+name+".hcl", text)
 	}
-	text, err := os.ReadFile(name)
+	text, err := terms.ReadFile(name)
 	if err != nil {
 		return nil, fmt.Errorf("%q is no day that ships (%s) and can't be read as a file: %w", name,
 			strings.Join(Days(), ", "), err)
--- a/internal/experiment/plan.go
+++ b/internal/experiment/plan.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -90,7 +89,7 @@
 
 // Read reads and checks an experiment file.
 func Read(path string) (*Plan, error) {
-	text, err := os.ReadFile(path)
+	text, err := terms.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("read experiment: %w", err)
 	}
--- a/internal/terms/read.go
+++ b/internal/terms/read.go
@@ -4,7 +4,9 @@
 
 import (
 	"fmt"
+	"io"
 	"math"
+	"os"
 	"strings"
 	"time"
 
@@ -34,8 +36,55 @@
 	Read   func(labels []string, body *hclsyntax.Body) hcl.Diagnostics
 }
 
+// Bounds of a text. HCL's parser calls itself for what is nested, and a process that runs out of stack ends without
+// a word: that a text is too deep has to be seen before it is parsed.
+const (
+	mostBytes = 16 << 20
+	mostDeep  = 200   // blocks, lists, templates and parentheses within one another
+	mostSigns = 10000 // signs that take what follows them: ! - ?
+
+	mostElements = 4096 // of a list or map
+)
+
+// ReadFile reads a file for Open, no further than its bound.
+func ReadFile(path string) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return io.ReadAll(io.LimitReader(f, mostBytes+1))
+}
+
+// bounded complains of a text that is too long or too deep.
+func bounded(name string, text []byte) hcl.Diagnostics {
+	if len(text) > mostBytes {
+		return hcl.Diagnostics{complaint(hcl.Range{Filename: name, Start: hcl.InitialPos}, "longer than %d bytes", mostBytes)}
+	}
+	tokens, _ := hclsyntax.LexConfig(text, name, hcl.InitialPos) // what is wrong with them the parser says
+	deep, signs := 0, 0
+	for _, t := range tokens {
+		switch t.Type {
+		case hclsyntax.TokenOBrace, hclsyntax.TokenOBrack, hclsyntax.TokenOParen, hclsyntax.TokenTemplateInterp,
+			hclsyntax.TokenTemplateControl:
+			deep++
+		case hclsyntax.TokenCBrace, hclsyntax.TokenCBrack, hclsyntax.TokenCParen, hclsyntax.TokenTemplateSeqEnd:
+			deep--
+		case hclsyntax.TokenBang, hclsyntax.TokenMinus, hclsyntax.TokenQuestion:
+			signs++
+		}
+		if deep > mostDeep || signs > mostSigns {
+			return hcl.Diagnostics{complaint(t.Range, "nested deeper than %d, or more than %d signs", mostDeep, mostSigns)}
+		}
+	}
+	return nil
+}
+
 // Open parses a text and returns its body.
 func Open(name string, text []byte) (*hclsyntax.Body, hcl.Diagnostics) {
+	if diags := bounded(name, text); diags.HasErrors() {
+		return nil, diags
+	}
 	f, diags := hclsyntax.ParseConfig(text, name, hcl.InitialPos)
 	if diags.HasErrors() {
 		return nil, diags
@@ -121,6 +170,9 @@
 	if v.IsNull() || !v.IsWhollyKnown() {
 		return fmt.Errorf("a value is wanted")
 	}
+	if v.CanIterateElements() && v.LengthInt() > mostElements { // converting them takes time by their square
+		return fmt.Errorf("%d elements, %d may be", v.LengthInt(), mostElements)
+	}
 	switch into := f.Into.(type) {
 	case *time.Duration:
 		return f.span(v, into)
@@ -172,10 +224,13 @@
 	return f.inside(d.Seconds())
 }
 
+// mostNumber bounds numbers and the seconds of spans that no field bounds closer.
+const mostNumber = 1e12
+
 func (f Field) inside(v float64) error {
 	most := f.Most
 	if most == 0 {
-		most = math.Inf(1)
+		most = mostNumber
 	}
 	if math.IsNaN(v) || v < f.Least || v > most {
 		return fmt.Errorf("%g is outside %g to %g", v, f.Least, most)
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"reflect"
 	"slices"
 	"strconv"
@@ -14,6 +13,7 @@
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 
+	"indigousher/brain"
 	"indigousher/intake"
 	"indigousher/internal/keys"
 	"indigousher/internal/wire"
@@ -116,9 +116,9 @@
 		Instances: 1}
 }
 
-// ReadFile reads and checks a pilot's file.
-func ReadFile(path string) (*Pilot, error) {
-	text, err := os.ReadFile(path)
+// ReadPilot reads and checks a pilot's file.
+func ReadPilot(path string) (*Pilot, error) {
+	text, err := ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("read terms: %w", err)
 	}
@@ -265,6 +265,21 @@
 	if len(p.Kinds) == 0 {
 		say("no req_kind is told")
 	}
+	names := append([]string{p.Name}, p.KindNames()...)
+	for what, list := range map[string][]string{"zones": p.Zones, "machines": p.Machines} {
+		names = append(names, list...)
+		if n, twice := repeated(list); twice { // places in the list would differ from indices
+			say("%s: %q stands here twice", what, n)
+		}
+	}
+	for _, n := range names {
+		if n == "" || len(n) > wire.MaxText {
+			say("a name of %d bytes, 1 to %d are wanted: %.40q", len(n), wire.MaxText, n)
+		}
+	}
+	if tables := len(p.Zones) * max(1, len(p.Kinds)); tables >= wire.EveryTable {
+		say("%d zones and %d kinds of req want %d tables, fewer than %d may be", len(p.Zones), len(p.Kinds), tables, wire.EveryTable)
+	}
 	if p.Zone == "" && len(p.Zones) > 0 {
 		p.Zone = p.Zones[0]
 	}
@@ -301,6 +316,18 @@
 	return diags
 }
 
+// repeated returns the first name that stands in a list a second time.
+func repeated(list []string) (string, bool) {
+	seen := map[string]bool{}
+	for _, n := range list {
+		if seen[n] {
+			return n, true
+		}
+		seen[n] = true
+	}
+	return "", false
+}
+
 // loopback returns whether an address can be reached from this machine alone.
 func loopback(address string) bool {
 	host, _, err := net.SplitHostPort(address)
@@ -400,14 +427,24 @@
 	return names
 }
 
-// ParseList reads an endpoint list in HCL: one block endpoint "ADDRESS" for each. A start is a time in RFC 3339.
+// ReadList reads and checks an endpoint list's file.
+func ReadList(path string) (*wire.List, error) {
+	text, err := ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read endpoint list: %w", err)
+	}
+	return ParseList(path, text)
+}
+
+// ParseList reads an endpoint list in HCL: one block endpoint "ADDRESS" for each. A start is a time in RFC 3339. A text
+// without any is refused, as it is what a file looks like that is just being written; who means it lists them as gone.
 func ParseList(name string, text []byte) (*wire.List, error) {
 	body, diags := Open(name, text)
 	if diags.HasErrors() {
 		return nil, Complaints(diags)
 	}
 	l := &wire.List{Whole: true, Now: uint64(time.Now().UnixMilli())}
-	phases := []string{"ready", "draining", "gone"}
+	phases, seen := []string{"ready", "draining", "gone"}, map[string]bool{}
 	diags = Read(body, []Field{{Name: "version", Into: &l.Version}}, []Sub{{Name: "endpoint", Labels: 1,
 		Read: func(labels []string, b *hclsyntax.Body) hcl.Diagnostics {
 			e, phase, started := wire.Entry{Endpoint: labels[0], Weight: 1}, "ready", ""
@@ -422,12 +459,24 @@
 				}
 				e.Started = uint64(max(1, at.UnixMilli()))
 			}
-			if slices.ContainsFunc(l.Entries, func(o wire.Entry) bool { return o.Endpoint == e.Endpoint }) {
+			if seen[e.Endpoint] {
 				diags = append(diags, complaint(b.SrcRange, "endpoint %q stands here twice", e.Endpoint))
 			}
+			for _, name := range []string{e.Endpoint, e.Zone, e.Machine} {
+				if len(name) > wire.MaxText || e.Endpoint == "" {
+					diags = append(diags, complaint(b.SrcRange, "a name of %d bytes, 1 to %d are wanted: %.40q", len(name), wire.MaxText, name))
+				}
+			}
+			if !brain.SoundWeight(e.Weight) {
+				diags = append(diags, complaint(b.SrcRange, "weight %g: 0 or %g to %g is wanted", e.Weight, 1/brain.MostFigure, brain.MostFigure))
+			}
+			seen[e.Endpoint] = true
 			l.Entries = append(l.Entries, e)
 			return diags
 		}}})
+	if len(l.Entries) == 0 {
+		diags = append(diags, complaint(body.MissingItemRange(), "no endpoint stands here"))
+	}
 	if diags.HasErrors() {
 		return nil, Complaints(diags)
 	}
