Streams of xDS that say nothing or ask for anything, operators that never read, are bounded

Seen by reading, then by tests that failed: an xDS stream that asked for types nobody knows had each kept in mind, one that asked for no endpoints had its marks kept without a bound, one that never opened its mouth stood as long as its connection. The admin listener had no bound on slow senders, on those who never read, or on connections; gRPC none on connections.

Admin: 2 s to ask, 10 s to read, 64 connections.

--- a/internal/edge/admin/admin.go
+++ b/internal/edge/admin/admin.go
@@ -12,6 +12,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/net/netutil"
 
 	"indigousher/internal/pilot"
 )
@@ -19,6 +20,14 @@
 // Stale is how long the loop may go without a turn before the pilot calls itself unhealthy.
 const Stale = 5 * time.Second
 
+// Bounds of what operators' connections may take.
+const (
+	within     = 2 * time.Second
+	mostHeader = 16 << 10
+	mostBody   = 1 << 10
+	mostConns  = 64
+)
+
 // Serve answers on l until ctx ends: /metrics, /healthz (the loop turns), /readyz (the list has come) and /state.
 func Serve(ctx context.Context, l net.Listener, g prometheus.Gatherer, state func() pilot.State) error {
 	mux := http.NewServeMux()
@@ -33,7 +42,10 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(state()) // the peer has gone if this fails
 	})
-	s := &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second}
+	// one that sends slowly, or never reads, is cut off; so many at once are served, others wait
+	s := &http.Server{Handler: http.MaxBytesHandler(mux, mostBody), ReadHeaderTimeout: within, ReadTimeout: within,
+		WriteTimeout: 5 * within, IdleTimeout: 15 * within, MaxHeaderBytes: mostHeader}
+	l = netutil.LimitListener(l, mostConns)
 	stop := context.AfterFunc(ctx, func() {
 		sctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
--- /dev/null
+++ b/internal/edge/admin/admin_test.go
@@ -0,0 +1,73 @@
+package admin
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"indigousher/internal/pilot"
+)
+
+// TestBadRequests guards the operators' listener against senders that are slow, too long or never read: each is answered
+// with an error or cut off in time, and others are served meanwhile.
+func TestBadRequests(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- Serve(ctx, l, prometheus.NewRegistry(), func() pilot.State { return pilot.State{Listed: true, LastTurn: time.Now()} })
+	}()
+	defer func() { cancel(); assert.NoError(t, <-ended) }()
+	ask := func(text string) string {
+		c, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		defer c.Close()
+		_, _ = io.WriteString(c, text) // a refusal may come before the end
+		_ = c.SetReadDeadline(time.Now().Add(4 * within))
+		b, err := io.ReadAll(c)
+		require.False(t, err != nil && strings.Contains(err.Error(), "timeout"), "not cut off")
+		return string(b)
+	}
+	t.Run("all", func(t *testing.T) { badRequests(t, ask, l.Addr().String()) }) // ends when the last of them has
+}
+
+func badRequests(t *testing.T, ask func(string) string, at string) {
+	const end = "Connection: close\r\n\r\n"
+	for _, c := range []struct{ name, text, want string }{
+		{"good", "GET /readyz HTTP/1.1\r\nHost: x\r\n" + end, "200 OK"},
+		{"state", "GET /state HTTP/1.1\r\nHost: x\r\n" + end, `"Listed":true`},
+		{"unknown path", "GET /nothing HTTP/1.1\r\nHost: x\r\n" + end, "404"},
+		{"no HTTP", "\x00\xff\x00\xff\r\n\r\n", "400"},
+		{"a long header", "GET /state HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 1<<20) + "\r\n" + end, ""},
+		{"cut off", "GET /state HT", ""},
+		{"a body that never comes", "POST /state HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000000\r\n\r\n", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			got := ask(c.text)
+			assert.Contains(t, got, c.want)
+			if c.want == "" {
+				assert.NotContains(t, got, "Stale\":", "no more than an error")
+			}
+		})
+	}
+	t.Run("crowd", func(t *testing.T) {
+		t.Parallel()
+		for range mostConns - 8 { // that say nothing
+			c, err := net.Dial("tcp", at)
+			require.NoError(t, err)
+			defer c.Close()
+		}
+		assert.Contains(t, ask("GET /readyz HTTP/1.1\r\nHost: x\r\n"+end), "200 OK")
+	})
+}
--- a/internal/edge/grpcedge/server.go
+++ b/internal/edge/grpcedge/server.go
@@ -72,7 +72,8 @@
 	}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	options := []grpc.ServerOption{grpc.MaxRecvMsgSize(d.MaxMessage), grpc.MaxSendMsgSize(wire.MaxFrame * 4),
-		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 3 * d.Beat, Timeout: 3 * d.Beat}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 3 * d.Beat, Timeout: 3 * d.Beat,
+			MaxConnectionIdle: 4 * d.HelloIn}), // one on which nobody follows takes the place of one that would
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
 		grpc.MaxConcurrentStreams(64), grpc.ConnectionTimeout(d.HelloIn)}
 	if d.Keys != nil {
--- /dev/null
+++ b/internal/edge/xdsedge/hostile_test.go
@@ -0,0 +1,93 @@
+package xdsedge
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	core "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	endpoint "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+	ads "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	lrs "github.com/envoyproxy/go-control-plane/envoy/service/load_stats/v3"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"indigousher/internal/wire"
+)
+
+// TestHostileNode guards the memory of a stream against a proxy that asks for types without an end, or for none and so
+// never answers a mark, and against answers to versions that were not sent.
+func TestHostileNode(t *testing.T) {
+	st := newStream("p", []string{"read"})
+	for i := range 5000 {
+		_, err := st.request(&ads.DiscoveryRequest{TypeUrl: fmt.Sprint("type/", i), ResourceNames: []string{"read"}})
+		require.NoError(t, err)
+		require.NoError(t, st.Send(&wire.Orders{Ops: []wire.Op{{Kind: wire.OpBind, Table: 1, Kinds: 1}, {Kind: wire.OpMark, Number: i}}}))
+	}
+	assert.Empty(t, st.asked)
+	assert.LessOrEqual(t, len(st.due), 1)
+	assert.Len(t, st.marks, mostMarks)
+	assert.Empty(t, st.responses())
+	for _, nonce := range []string{"1", "-1x", "99999999999999999999", "NaN"} {
+		_, err := st.request(&ads.DiscoveryRequest{TypeUrl: typeEndpoint, ResponseNonce: nonce})
+		assert.Error(t, err, nonce)
+	}
+}
+
+// TestSilentOpening guards against streams that are opened and never say anything.
+func TestSilentOpening(t *testing.T) {
+	never := make(chan struct{})
+	defer close(never)
+	_, err := opening(10*time.Millisecond, func() (int, error) { <-never; return 0, nil })
+	assert.ErrorContains(t, err, "nothing was said")
+	n, err := opening(time.Minute, func() (int, error) { return 7, nil })
+	assert.NoError(t, err)
+	assert.Equal(t, 7, n)
+}
+
+func stats(change func(c *endpoint.ClusterStats)) *lrs.LoadStatsRequest {
+	c := &endpoint.ClusterStats{ClusterName: "read", LoadReportInterval: durationpb.New(time.Second),
+		UpstreamLocalityStats: []*endpoint.UpstreamLocalityStats{{Locality: &core.Locality{SubZone: "x:1"}, TotalSuccessfulRequests: 5,
+			TotalErrorRequests: 2, LoadMetricStats: []*endpoint.EndpointLoadMetricStats{{MetricName: "util",
+				NumRequestsFinishedWithMetric: 2, TotalMetricValue: 1}}}}}
+	change(c)
+	return &lrs.LoadStatsRequest{ClusterStats: []*endpoint.ClusterStats{c}}
+}
+
+// FuzzLoad guards the runtime against load reports of any sort: what comes of them is as the framed wire would let in, but
+// for figures, which the runtime checks.
+func FuzzLoad(f *testing.F) {
+	for _, change := range []func(c *endpoint.ClusterStats){func(*endpoint.ClusterStats) {},
+		func(c *endpoint.ClusterStats) { c.UpstreamLocalityStats[0].TotalSuccessfulRequests = math.MaxUint64 },
+		func(c *endpoint.ClusterStats) {
+			c.UpstreamLocalityStats[0].LoadMetricStats[0].TotalMetricValue = math.Inf(1)
+		},
+		func(c *endpoint.ClusterStats) {
+			c.LoadReportInterval = &durationpb.Duration{Seconds: math.MinInt64, Nanos: -5}
+		},
+		func(c *endpoint.ClusterStats) { c.TotalDroppedRequests = math.MaxUint64 }} {
+		b, err := proto.Marshal(stats(change))
+		require.NoError(f, err)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var r lrs.LoadStatsRequest
+		if proto.Unmarshal(b, &r) != nil {
+			return
+		}
+		s, err := newStream("p", []string{"read"}).sums(&r, 1)
+		if err != nil || s == nil {
+			return
+		}
+		assert.True(t, s.SpanMs > 0 && !math.IsInf(s.SpanMs, 0), "%v", s.SpanMs)
+		for _, m := range s.Met {
+			assert.True(t, m.Failed >= 0 && m.Failed <= m.Tries, "%+v", m)
+		}
+		for _, d := range s.Demand {
+			assert.True(t, d.Unanswered >= 0 && d.Unanswered <= d.Reqs, "%+v", d)
+		}
+	})
+}
--- a/internal/edge/xdsedge/xdsedge.go
+++ b/internal/edge/xdsedge/xdsedge.go
@@ -47,12 +47,15 @@
 	typeEndpoint = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
 )
 
+var types = []string{typeListener, typeCluster, typeEndpoint}
+
 // Figures of the edge's own.
 const (
 	unit         = 10000 // of a weight of 1
 	millions     = 1_000_000
 	mostRefusals = 3 // in a row
 	mostNames    = 64
+	mostMarks    = 1024 // that wait for a proxy which asks for no endpoints; older ones are forgotten
 )
 
 // Inbox is where inputs go: the runtime's loop.
@@ -65,6 +68,7 @@
 	Kinds      []string
 	Period     time.Duration
 	SeenWithin time.Duration
+	HelloIn    time.Duration // the first message of a stream comes by then
 	MaxStreams int
 	// Claims checks that a stream's peer is the proxy it says it is; nil without keys.
 	Claims func(ctx context.Context, name, zone string) error
@@ -108,9 +112,29 @@
 	}
 }
 
+// opening waits for a stream's first message, no longer than a hello may take: a stream that says nothing is ended, as
+// it would stand for as long as its connection does. The waiting itself ends with the stream.
+func opening[M any](within time.Duration, recv func() (M, error)) (M, error) {
+	type first struct {
+		m   M
+		err error
+	}
+	came := make(chan first, 1)
+	go func() { m, err := recv(); came <- first{m, err} }()
+	timer := time.NewTimer(within)
+	defer timer.Stop()
+	select {
+	case f := <-came:
+		return f.m, f.err
+	case <-timer.C:
+		var none M
+		return none, status.Error(codes.DeadlineExceeded, "nothing was said")
+	}
+}
+
 // StreamAggregatedResources serves one proxy.
 func (s *Server) StreamAggregatedResources(g ads.AggregatedDiscoveryService_StreamAggregatedResourcesServer) error {
-	first, err := g.Recv()
+	first, err := opening(s.door.HelloIn, g.Recv)
 	if err != nil {
 		return err
 	}
@@ -138,7 +162,7 @@
 
 func (s *Server) enter(ctx context.Context, n *core.Node) (*stream, error) {
 	name, zone := n.GetId(), n.GetLocality().GetZone()
-	if name == "" || zone == "" || len(name) > wire.MaxText {
+	if name == "" || zone == "" || len(name) > wire.MaxText || len(zone) > wire.MaxText {
 		return nil, status.Error(codes.InvalidArgument, "a node wants an id and a locality with a zone")
 	}
 	if s.door.Claims != nil {
@@ -222,7 +246,7 @@
 
 // StreamLoadStats takes one proxy's load reports.
 func (s *Server) StreamLoadStats(g lrs.LoadReportingService_StreamLoadStatsServer) error {
-	first, err := g.Recv()
+	first, err := opening(s.door.HelloIn, g.Recv)
 	if err != nil {
 		return err
 	}
@@ -347,6 +371,7 @@
 		st.table(o.Table).levels[o.Kinds] = o.Weight
 	case wire.OpMark:
 		st.marks = append(st.marks, mark{o.Number, st.version + 1, time.Now()})
+		st.marks = st.marks[max(0, len(st.marks)-mostMarks):]
 	}
 }
 
@@ -361,6 +386,9 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	t := r.GetTypeUrl()
+	if !slices.Contains(types, t) { // not served here; kept in mind, types that nobody knows would add up
+		return nil, nil
+	}
 	if names := r.GetResourceNames(); r.GetResponseNonce() == "" || !slices.Equal(names, st.asked[t]) {
 		st.asked[t] = slices.Clone(names)
 		st.due[t] = true
