The handover socket keeps nothing of those who ask in vain

Seen by TestBadAsker: each connection to the socket left a goroutine until the pilot ended; one that connected and said nothing had all others refused as busy for 20 s, so that no new process could take over; a message cut at the buffer's end passed for a whole one; files that came along with a message that brings none were left open.

Who asks is counted (16 at once), has 2 s to say so before it keeps others out, and what is cut off or unasked is dropped.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -35,6 +36,12 @@
 // Within bounds each step.
 const Within = 20 * time.Second
 
+// Bounds of those who ask: how many at once, and how long each may take to say that it wants to take over.
+const (
+	mostAsking = 16
+	askWithin  = 2 * time.Second
+)
+
 type message struct {
 	Version int
 	Step    string
@@ -66,11 +73,18 @@
 	return nil
 }
 
+// expect waits for a message of a step that brings no files; those that come all the same are closed.
+func expect(c *net.UnixConn, step string, within time.Duration) error {
+	_, files, err := receive(c, step, within)
+	closeAll(files)
+	return err
+}
+
 // receive reads the next message, which is to be of a step, with the files that come along.
-func receive(c *net.UnixConn, step string) (message, []*os.File, error) {
+func receive(c *net.UnixConn, step string, within time.Duration) (message, []*os.File, error) {
 	b, oob := make([]byte, largest), make([]byte, largest)
-	_ = c.SetReadDeadline(time.Now().Add(Within))
-	n, on, _, _, err := c.ReadMsgUnix(b, oob)
+	_ = c.SetReadDeadline(time.Now().Add(within))
+	n, on, flags, _, err := c.ReadMsgUnix(b, oob)
 	if err != nil || n == 0 {
 		return message{}, nil, errors.Join(fmt.Errorf("wait for %s: %w", step, ErrBroken), err)
 	}
@@ -85,6 +99,9 @@
 		}
 	}
 	var m message
+	if flags&(syscall.MSG_TRUNC|syscall.MSG_CTRUNC) != 0 {
+		err = errors.Join(err, fmt.Errorf("longer than %d bytes: %w", largest, ErrBroken))
+	}
 	if err == nil {
 		err = json.Unmarshal(b[:n], &m)
 	}
@@ -143,13 +160,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
 	var busy, taken atomic.Bool
-	done := make(chan struct{})
-	open := 0
-	defer func() {
-		for range open {
-			<-done
-		}
-	}()
+	var asking sync.WaitGroup
+	defer asking.Wait()
+	slots := make(chan struct{}, mostAsking)
 	for {
 		c, err := l.AcceptUnix()
 		if err != nil {
@@ -159,15 +172,21 @@
 			}
 			return false, fmt.Errorf("offer handover: %w", err)
 		}
-		open++
-		go func() {
-			defer func() { done <- struct{}{} }()
+		select {
+		case slots <- struct{}{}:
+		default: // more ask at once than any operator does
+			_ = c.Close()
+			continue
+		}
+		asking.Go(func() {
+			defer func() { <-slots }()
 			defer c.Close()
 			defer context.AfterFunc(ctx, func() { _ = c.SetReadDeadline(time.Now()) })()
+			if err := expect(c, stepTake, askWithin); err != nil { // one that says nothing keeps nobody out
+				return
+			}
 			if !busy.CompareAndSwap(false, true) {
-				if _, _, err := receive(c, stepTake); err == nil { // else what was not read would reset the connection
-					_ = send(c, message{Step: stepBusy}, nil)
-				}
+				_ = send(c, message{Step: stepBusy}, nil)
 				return
 			}
 			defer busy.Store(false)
@@ -175,7 +194,7 @@
 				taken.Store(true)
 				cancel()
 			}
-		}()
+		})
 	}
 }
 
@@ -183,9 +202,6 @@
 func (o *Offer) hand(ctx context.Context, c *net.UnixConn) bool {
 	m := recovery.Old{Patience: cmp.Or(o.Patience, usualPatience)}
 	e := recovery.Asked
-	if _, _, err := receive(c, stepTake); err != nil {
-		return false
-	}
 	for {
 		switch m.Next(e) {
 		case recovery.SayOffer:
@@ -232,7 +248,7 @@
 	if err := send(c, m, files); err != nil {
 		return recovery.Lost
 	}
-	if _, _, err := receive(c, want); err != nil {
+	if expect(c, want, Within) != nil {
 		return recovery.Lost
 	}
 	return came
@@ -256,7 +272,7 @@
 	if err := send(c, message{Step: stepTake}, nil); err != nil {
 		return nil, errors.Join(err, c.Close())
 	}
-	m, files, err := receive(c, stepOffer)
+	m, files, err := receive(c, stepOffer, Within)
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("take over: %w", err), c.Close())
 	}
@@ -285,7 +301,7 @@
 		case recovery.SayReady:
 			e = recovery.GoCame
 			if why = send(t.conn, message{Step: stepReady}, nil); why == nil {
-				_, _, why = receive(t.conn, stepGo)
+				why = expect(t.conn, stepGo, Within)
 			}
 			if why != nil {
 				e = recovery.Lost
