A torn record starts a pilot cold in place of ending it; a reload no longer costs the record

The file is walked through when it is opened, panics and page faults in the store are torn records; such a file is set aside as records.db.torn, one at a time. A life notes the terms of its last reload. Tail drops what lies before the tail as it reads. Recorded notes must name what is known, in sound figures; a module that panics on a record begins cold.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -476,5 +476,10 @@
 		}
 	}
 	d.terms.Store(terms.Merge(d.terms.Load(), now))
+	if d.record != nil {
+		if err := d.record.reterm(d.terms.Load()); err != nil {
+			d.outfit.Log.Error("terms not recorded; a return will start cold", zap.Error(err))
+		}
+	}
 	return changed, restart, nil
 }
--- a/internal/daemon/recorded.go
+++ b/internal/daemon/recorded.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -22,6 +23,7 @@
 	Verdict recovery.Verdict
 	Took    time.Duration // of the recovery
 	after   string        // the life it was rebuilt from
+	life    string        // this one
 }
 
 // lifeID names a life so that names sort by start.
@@ -31,6 +33,11 @@
 // a record is logged and never keeps a pilot from starting, but for a store that another process holds.
 func (d *Daemon) openRecord(t *terms.Pilot, plan *pilot.Plan, fresh func() pilot.Plan) (core *pilot.Core, offset float64, err error) {
 	store, err := record.Open(t.RecordDir, false)
+	if errors.Is(err, record.ErrTorn) {
+		path, aerr := record.SetAside(t.RecordDir)
+		d.outfit.Log.Error("records are torn and set aside", zap.String("file", path), zap.Error(errors.Join(err, aerr)))
+		store, err = record.Open(t.RecordDir, false)
+	}
 	if err != nil {
 		return nil, 0, err
 	}
@@ -44,10 +51,12 @@
 	began := time.Now()
 	if core, err = d.recover(r, t, fingerprint, string(told), fresh); err != nil {
 		d.outfit.Log.Error("recovery failed, starting cold", zap.Error(err))
+		r.Verdict = recovery.Verdict{Why: "cold start: recovery failed"}
 	}
 	r.Took = time.Since(began)
 	d.outfit.Log.Info(r.Verdict.Why, zap.Duration("took", r.Took))
-	life := record.Life{ID: lifeID(time.Now()), Pilot: t.Name, Seed: int64(t.Seed), Module: fingerprint, Terms: string(told), Started: time.Now(),
+	r.life = lifeID(time.Now())
+	life := record.Life{ID: r.life, Pilot: t.Name, Seed: int64(t.Seed), Module: fingerprint, Terms: string(told), Started: time.Now(),
 		After: r.after, TailMs: float64(t.RecoverTail.Milliseconds())}
 	if r.writer, err = record.NewWriter(store, life, record.Bounds{Bytes: int64(t.RecordMostMB * (1 << 20)), Age: t.RecordKeep,
 		Segment: record.DefaultBounds().Segment, Every: record.DefaultBounds().Every}, d.outfit.Log.Named("record")); err != nil {
@@ -79,11 +88,11 @@
 	}
 	var turns []record.Turn
 	if last.ID != "" && last.Format == record.Format {
-		if turns, facts.Torn, err = record.Tail(r.store, last.ID); err != nil {
+		if turns, facts.Torn, err = record.Tail(r.store, last.ID, bounds.TailMs); err != nil {
 			return nil, err
 		}
 		facts.Turns = len(turns)
-		facts.SameFormat, facts.SameModule, facts.SameTerms = true, last.Module == fingerprint, last.Terms == told
+		facts.SameFormat, facts.SameModule, facts.SameTerms = true, last.Module == fingerprint, cmp.Or(last.Now, last.Terms) == told
 		facts.GapMs = float64(time.Since(r.store.LastAt(last.ID)).Milliseconds())
 	}
 	from := record.From(turns, bounds.TailMs)
@@ -95,13 +104,21 @@
 	}
 	core := pilot.NewCore(fresh())
 	if err := record.Restore(core, turns[from:]); err != nil {
-		r.Verdict = recovery.Verdict{Why: "cold start: " + err.Error()}
 		return nil, err
 	}
 	r.after = last.ID
 	return core, nil
 }
 
+// reterm notes the terms of a reload, without which a return after it would be held for one on other terms.
+func (r *recorded) reterm(t *terms.Pilot) error {
+	told, err := json.Marshal(t.ForModule(t.Rank))
+	if err != nil {
+		return fmt.Errorf("record terms: %w", err)
+	}
+	return r.store.Reterm(r.life, string(told))
+}
+
 // close ends the record.
 func (r *recorded) close() error { return r.store.Close() }
 
--- a/internal/pilot/core.go
+++ b/internal/pilot/core.go
@@ -300,7 +300,13 @@
 				TookMs: in.TookMs, Load: load(in.Load, func(f wire.Figure) { c.odd(oddFigure, f.Name, fmt.Sprint(f.Value)) })})
 		}
 	case Told:
-		c.told = append(c.told, in.Notes...)
+		for _, n := range in.Notes {
+			if c.knows(n) {
+				c.told = append(c.told, n)
+			} else {
+				c.odd("recorded note of nobody known")
+			}
+		}
 	case Heard:
 		return append(notes, brain.Gossip{From: in.From, Text: in.Text})
 	case Retermed:
@@ -664,6 +670,27 @@
 	c.plan.Odd(what, fields...)
 }
 
+// knows returns whether a recorded note names what there is, in figures that the intake would have passed on. The module
+// takes any index for one that it may use.
+func (c *Core) knows(n brain.Note) bool {
+	within := func(i, n int) bool { return i >= 0 && i < n }
+	switch n := n.(type) {
+	case brain.Met:
+		for _, v := range n.Load {
+			if !brain.Sound(v) {
+				return false
+			}
+		}
+		return within(n.Endpoint, c.endpoints.len()) && within(n.Zone, c.zones.len()) && n.Failed >= 0 && n.Tries >= n.Failed &&
+			brain.Sound(n.MeanMs) && brain.Sound(n.SpanMs)
+	case brain.Demand:
+		return within(n.Proxy, c.proxies.len()) && within(n.Kind, c.kinds.len()) && n.Reqs >= 0 && brain.Sound(n.SpanMs)
+	case brain.SliceDemand:
+		return within(n.Kind, c.kinds.len()) && n.Reqs >= 0 && brain.Sound(n.SpanMs)
+	}
+	return false
+}
+
 // load turns a load report into the module's. Figures that none can be are left out and said to wrong.
 func load(figures []wire.Figure, wrong func(f wire.Figure)) brain.Load {
 	if len(figures) == 0 {
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -199,7 +200,7 @@
 	at, _, err := read(s, "a")
 	assert.ErrorIs(t, err, ErrTorn)
 	assert.NotEmpty(t, at)
-	turns, torn, err := Tail(s, "a")
+	turns, torn, err := Tail(s, "a", 1e9)
 	require.NoError(t, err)
 	assert.True(t, torn)
 	assert.Len(t, turns, len(at))
@@ -338,3 +339,86 @@
 	b.ReportMetric(float64(w.Bytes.Load())/float64(max(1, w.Turns.Load())*50), "bytes/note")
 	b.ReportMetric(float64(w.lost.Load())/float64(b.N), "lost/turn")
 }
+
+// TestTail guards the memory of a recovery: of a long life no more is held than what is gone on from, and that is the same.
+func TestTail(t *testing.T) {
+	s := open(t, t.TempDir())
+	defer s.Close()
+	w, err := NewWriter(s, Life{ID: "a"}, Bounds{Segment: 1 << 12, Every: time.Hour}, zap.NewNop())
+	require.NoError(t, err)
+	var all []Turn
+	var body []byte
+	for i := range 3000 {
+		x := Turn{AtMs: float64(i) * 200}
+		if i > 0 && i%75 == 0 {
+			x.Inputs = []Input{{Kind: Checkpoint}}
+		}
+		all = append(all, x)
+		if body, err = Append(body, &x); i%50 == 49 {
+			w.commit(body)
+			body = body[:0]
+		}
+		require.NoError(t, err)
+	}
+	for _, tail := range []float64{0, 1000, 60_000, 1e9} {
+		turns, torn, err := Tail(s, "a", tail)
+		require.NoError(t, err)
+		assert.False(t, torn)
+		assert.Equal(t, all[From(all, tail):], turns, "%g ms", tail)
+	}
+}
+
+// TestHostileTurns guards a recovery against a record that reads well and makes no sense: what names nobody, or is no
+// figure, is left out, and neither panics nor makes room for a billion endpoints.
+func TestHostileTurns(t *testing.T) {
+	inf, nan := math.Inf(1), math.NaN()
+	for name, c := range map[string]struct {
+		turn Turn
+		torn bool
+	}{
+		"endpoint below":      {Turn{Inputs: []Input{{Kind: Met, Note: brain.Met{Endpoint: -1, Tries: 1, SpanMs: 1}}}}, false},
+		"endpoint beyond":     {Turn{Inputs: []Input{{Kind: Met, Note: brain.Met{Endpoint: 1 << 40, Tries: 1, SpanMs: 1}}}}, false},
+		"zone beyond":         {Turn{Inputs: []Input{{Kind: Met, Note: brain.Met{Zone: 1 << 40, Tries: 1, SpanMs: 1}}}}, false},
+		"zone below":          {Turn{Inputs: []Input{{Kind: Met, Note: brain.Met{Zone: -5, Tries: 1, SpanMs: 1}}}}, false},
+		"load infinite":       {Turn{Inputs: []Input{{Kind: Met, Note: brain.Met{Tries: 1, SpanMs: 1, Load: brain.Load{"util": inf}}}}}, false},
+		"mean not a number":   {Turn{Inputs: []Input{{Kind: Met, Note: brain.Met{Tries: 1, SpanMs: 1, MeanMs: nan}}}}, false},
+		"kind beyond":         {Turn{Inputs: []Input{{Kind: Demand, Note: brain.Demand{Kind: 1 << 40}}}}, false},
+		"slice's kind beyond": {Turn{Inputs: []Input{{Kind: SliceDemand, Note: brain.SliceDemand{Kind: -1}}}}, false},
+		"probe's load":        {Turn{Inputs: []Input{{Kind: Probed, Text: "x", Probe: brain.Probed{Load: brain.Load{"util": inf}}}}}, false},
+		"no time":             {Turn{AtMs: nan}, true},
+		"before all time":     {Turn{AtMs: -inf}, true},
+		"beyond all time":     {Turn{AtMs: 1e300}, true},
+		"terms that are none": {Turn{Inputs: []Input{{Kind: Retermed, Text: "[1]"}}}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			terms := map[string]any{"zones": []any{"a"}, "req_kinds": []any{map[string]any{"name": "read"}}, "fields": []any{"util"}}
+			plan, err := planOf(terms)
+			require.NoError(t, err)
+			plan.Decider, plan.Terms = brain.New(1, terms), terms
+			odd := 0
+			plan.Odd = func(string, ...string) { odd++ }
+			core := pilot.NewCore(plan)
+			b, err := Append(nil, &c.turn) // by way of the disk
+			require.NoError(t, err)
+			bad, err := Turns(b)
+			require.NoError(t, err)
+			turns := append([]Turn{{Inputs: []Input{{Kind: Listed, Message: &wire.List{Whole: true, Entries: []wire.Entry{{Endpoint: "x", Zone: "a", Weight: 1}}}}}}}, bad...)
+			if err := Restore(core, append(turns, Turn{AtMs: 5000})); c.torn {
+				assert.ErrorIs(t, err, ErrTorn)
+			} else {
+				assert.NoError(t, err)
+				assert.Equal(t, 1, odd)
+			}
+		})
+	}
+	panics := plainPanic{}
+	plan, err := planOf(map[string]any{"zones": []any{"a"}, "req_kinds": []any{"read"}})
+	require.NoError(t, err)
+	plan.Decider, plan.Terms = panics, map[string]any{}
+	assert.ErrorContains(t, Restore(pilot.NewCore(plan), []Turn{{}}), "the module panics on the record: index")
+}
+
+// plainPanic is a module with a fault.
+type plainPanic struct{}
+
+func (plainPanic) Handle(float64, []brain.Note) []brain.Order { panic("index out of range") }
--- a/internal/record/recorder.go
+++ b/internal/record/recorder.go
@@ -149,6 +149,9 @@
 	streams map[uint64]*Stream
 }
 
+// latest is beyond every time of a life, in ms.
+const latest = 1e14
+
 // ErrDiffers says that a replay ordered otherwise than the record.
 var ErrDiffers = errors.New("the replay orders otherwise")
 
@@ -176,6 +179,9 @@
 	if len(told) > 0 {
 		inputs = append(inputs, pilot.Told{Notes: told})
 	}
+	if !(t.AtMs >= 0 && t.AtMs < latest) {
+		return fmt.Errorf("a turn at %g ms: %w", t.AtMs, ErrTorn)
+	}
 	p.Core.Handle(t.AtMs+offsetMs, inputs)
 	p.Core.Channel.Send(t.AtMs + offsetMs)
 	return nil
@@ -297,12 +303,16 @@
 }
 
 // Tail reads the turns of a life from which it can be gone on from. Torn tells that something after them can't be read.
-func Tail(s *Store, life string) (turns []Turn, torn bool, err error) {
+// No more is held at a time than the tail and a chunk: a life may be a week long.
+func Tail(s *Store, life string, tailMs float64) (turns []Turn, torn bool, err error) {
 	err = s.Read(life, func(ts []Turn, gap bool) error {
 		if gap {
 			turns = nil // what lies before a gap does not lead to what lies after it
 		}
 		turns = append(turns, ts...)
+		if from := From(turns, tailMs); from > 0 && from < len(turns) {
+			turns = slices.Clone(turns[from:])
+		}
 		return nil
 	})
 	if errors.Is(err, ErrTorn) {
@@ -315,8 +325,13 @@
 func (t *Turn) IsCheckpoint() bool { return len(t.Inputs) > 0 && t.Inputs[0].Kind == Checkpoint }
 
 // Restore feeds a tail to a new core whose edges are held back. Its first turn may be a checkpoint; later ones are not
-// fed.
-func Restore(core *pilot.Core, turns []Turn) error {
+// fed. A module that panics on what the record holds gives an error: it would do so again at each start.
+func Restore(core *pilot.Core, turns []Turn) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("the module panics on the record: %v", r)
+		}
+	}()
 	p := Player{Core: core}
 	for i := range turns {
 		if i > 0 && turns[i].IsCheckpoint() {
--- a/internal/record/replay.go
+++ b/internal/record/replay.go
@@ -50,7 +50,7 @@
 	core := pilot.NewCore(plan)
 	d.guess = newEstimator(core.Shares)
 	if l.After != "" {
-		turns, _, err := Tail(s, l.After)
+		turns, _, err := Tail(s, l.After, l.TailMs)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/record/store.go
+++ b/internal/record/store.go
@@ -7,12 +7,16 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"os"
 	"path/filepath"
+	"runtime/debug"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/klauspost/compress/zstd"
 	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 	"go.uber.org/zap"
 )
 
@@ -23,7 +27,8 @@
 	Pilot   string
 	Seed    int64
 	Module  string    // fingerprint of what decided
-	Terms   string    // as JSON
+	Terms   string    // as JSON, at its start
+	Now     string    `json:",omitempty"` // as JSON, after the last reload; "": as at its start
 	Started time.Time // by the machine's clock, for people
 	After   string    // the life that this one was rebuilt from, if any
 	TailMs  float64   // and how much of its end was asked for
@@ -64,19 +69,86 @@
 	raw *zstd.Decoder
 }
 
-// Open opens or makes the store in a folder. A second process that opens it fails.
+const fileName = "records.db"
+
+// guarded does something with the file. The store panics on pages that make no sense, and a page that the file no longer
+// has faults; both are torn records, which must not end a pilot.
+func guarded(f func() error) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("%v: %w", r, ErrTorn)
+		}
+	}()
+	return f()
+}
+
+func (s *Store) view(f func(*bbolt.Tx) error) error {
+	return guarded(func() error { return s.db.View(f) })
+}
+
+func (s *Store) update(f func(*bbolt.Tx) error) error {
+	return guarded(func() error { return s.db.Update(f) })
+}
+
+// SetAside moves a store's file out of the way, in place of one that was moved there before, and returns where it lies.
+func SetAside(dir string) (string, error) {
+	from := filepath.Join(dir, fileName)
+	if err := os.Rename(from, from+".torn"); err != nil {
+		return "", fmt.Errorf("set records aside: %w", err)
+	}
+	return from + ".torn", nil
+}
+
+// openFile opens the file, and tells one that is torn from one that can't be had.
+func openFile(path string, readOnly bool) (db *bbolt.DB, err error) {
+	err = guarded(func() (err error) {
+		db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockWait, ReadOnly: readOnly, FreelistType: bbolt.FreelistMapType})
+		return err
+	})
+	var refused syscall.Errno // by the system
+	if err != nil && !errors.Is(err, bolterrors.ErrTimeout) && !errors.As(err, &refused) && !errors.Is(err, ErrTorn) {
+		err = fmt.Errorf("%w: %w", ErrTorn, err)
+	}
+	return db, err
+}
+
+// walk goes through all buckets and keys, so that pages which make no sense show before anything depends on them.
+func walk(b *bbolt.Bucket) error {
+	return b.ForEach(func(k, v []byte) error {
+		if v == nil && b.Bucket(k) != nil {
+			return walk(b.Bucket(k))
+		}
+		return nil
+	})
+}
+
+// whole returns whether the file has all the pages that it speaks of, and each is what it should be.
+func (s *Store) whole() error {
+	return s.view(func(tx *bbolt.Tx) error {
+		if at, err := os.Stat(s.db.Path()); err != nil || at.Size() < tx.Size() {
+			return errors.Join(fmt.Errorf("shorter than %d bytes: %w", tx.Size(), ErrTorn), err)
+		}
+		return tx.ForEach(func(_ []byte, b *bbolt.Bucket) error { return walk(b) })
+	})
+}
+
+// Open opens or makes the store in a folder. A second process that opens it fails. A file that is torn is told by ErrTorn.
 func Open(dir string, readOnly bool) (*Store, error) {
-	path := filepath.Join(dir, "records.db")
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockWait, ReadOnly: readOnly, FreelistType: bbolt.FreelistMapType})
+	path := filepath.Join(dir, fileName)
+	db, err := openFile(path, readOnly)
 	if err != nil {
 		return nil, fmt.Errorf("open records %s: %w", path, err)
 	}
 	s := &Store{db: db}
+	if err := s.whole(); err != nil {
+		return nil, errors.Join(fmt.Errorf("open records %s: %w", path, err), db.Close())
+	}
 	if s.zip, err = zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1)); err == nil {
 		s.raw, err = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(256<<20))
 	}
 	if err == nil && !readOnly {
-		err = db.Update(func(tx *bbolt.Tx) error {
+		err = s.update(func(tx *bbolt.Tx) error {
 			for _, b := range [][]byte{bucketLives, bucketSegments} {
 				if _, err := tx.CreateBucketIfNotExists(b); err != nil {
 					return err
@@ -99,7 +171,7 @@
 
 // Lives lists the lives, oldest first.
 func (s *Store) Lives() (lives []Life, err error) {
-	err = s.db.View(func(tx *bbolt.Tx) error {
+	err = s.view(func(tx *bbolt.Tx) error {
 		b := tx.Bucket(bucketLives)
 		if b == nil {
 			return nil
@@ -123,13 +195,29 @@
 	if err != nil {
 		return fmt.Errorf("begin record: %w", err)
 	}
-	return s.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(bucketLives).Put([]byte(l.ID), v) })
+	return s.update(func(tx *bbolt.Tx) error { return tx.Bucket(bucketLives).Put([]byte(l.ID), v) })
+}
+
+// Reterm notes the terms that a life goes on with after a reload.
+func (s *Store) Reterm(life, terms string) error {
+	return s.update(func(tx *bbolt.Tx) error {
+		var l Life
+		if err := json.Unmarshal(tx.Bucket(bucketLives).Get([]byte(life)), &l); err != nil {
+			return fmt.Errorf("note terms: %w", err)
+		}
+		l.Now = terms
+		v, err := json.Marshal(l)
+		if err != nil {
+			return fmt.Errorf("note terms: %w", err)
+		}
+		return tx.Bucket(bucketLives).Put([]byte(life), v)
+	})
 }
 
 // Read calls f with each chunk's turns of a life, in order. A chunk that is torn ends it with ErrTorn; gap tells that
 // turns are missing before what follows.
 func (s *Store) Read(life string, f func(turns []Turn, gap bool) error) error {
-	return s.db.View(func(tx *bbolt.Tx) error {
+	return s.view(func(tx *bbolt.Tx) error {
 		c := tx.Bucket(bucketSegments).Cursor()
 		prefix := []byte(life + "/")
 		for k, v := c.Seek(prefix); k != nil && v == nil && len(k) > len(prefix) && string(k[:len(prefix)]) == string(prefix); k, v = c.Next() {
@@ -169,7 +257,7 @@
 
 // Size is what a life's segments take.
 func (s *Store) Size(life string) (bytes int64, chunks int) {
-	_ = s.db.View(func(tx *bbolt.Tx) error { // only reads
+	_ = s.view(func(tx *bbolt.Tx) error { // only reads
 		return tx.Bucket(bucketSegments).ForEachBucket(func(k []byte) error {
 			if len(k) > len(life) && string(k[:len(life)]) == life {
 				return tx.Bucket(bucketSegments).Bucket(k).ForEach(func(_, v []byte) error {
@@ -185,7 +273,7 @@
 
 // LastAt returns when the last chunk of a life was written, by the machine's clock.
 func (s *Store) LastAt(life string) (at time.Time) {
-	_ = s.db.View(func(tx *bbolt.Tx) error { // only reads
+	_ = s.view(func(tx *bbolt.Tx) error { // only reads
 		return tx.Bucket(bucketSegments).ForEachBucket(func(k []byte) error {
 			if len(k) > len(life) && string(k[:len(life)]) == life {
 				if _, v := tx.Bucket(bucketSegments).Bucket(k).Cursor().Last(); len(v) >= chunkHead {
@@ -200,7 +288,7 @@
 
 // Prune drops the oldest segments until all fit the bounds, and lives of which nothing is left.
 func (s *Store) Prune(b Bounds, now time.Time) (dropped int, err error) {
-	err = s.db.Update(func(tx *bbolt.Tx) error {
+	err = s.update(func(tx *bbolt.Tx) error {
 		segments := tx.Bucket(bucketSegments)
 		type segment struct {
 			name []byte
@@ -280,7 +368,7 @@
 	if err := s.Begin(l); err != nil {
 		return nil, err
 	}
-	return &Writer{store: s, life: l.ID, bounds: b, log: log, turns: make(chan func() *Turn, queueSize), put: s.db.Update}, nil
+	return &Writer{store: s, life: l.ID, bounds: b, log: log, turns: make(chan func() *Turn, queueSize), put: s.update}, nil
 }
 
 // Turn hands a turn over. It never waits; the turn is laid out when its time has come.
