--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -82,6 +82,29 @@
 	assert.Contains(t, b.String(), "54 runs were left out")
 }
 
+// TestTornStore guards against a store of results that was cut off or overwritten: the experiment says which file it is, and
+// neither panics nor takes anything from it.
+func TestTornStore(t *testing.T) {
+	p := plan(t, text)
+	r := &Runner{Plan: p, Store: filepath.Join(t.TempDir(), "x.db"), Program: "one"}
+	_, err := r.Run(t.Context())
+	require.NoError(t, err)
+	whole, err := os.ReadFile(r.Store)
+	require.NoError(t, err)
+	for n := 4096; n < len(whole); n += 4096 {
+		b := append([]byte(nil), whole...)
+		for i := n; i < n+64; i++ {
+			b[i] ^= 0x5a
+		}
+		for _, text := range [][]byte{whole[:n], b} {
+			require.NoError(t, os.WriteFile(r.Store, text, 0o600))
+			if _, err := r.Run(t.Context()); err != nil { // a page that nothing refers to may be anything
+				assert.ErrorContains(t, err, r.Store)
+			}
+		}
+	}
+}
+
 // TestReport guards the report against what would need a network: it holds its charts and names no address.
 func TestReport(t *testing.T) {
 	p := plan(t, strings.Replace(text, "repeats = 3", "repeats = 2", 1))
