--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -237,6 +237,36 @@
 	}
 }
 
+// TestMute guards a zone whose endpoints all hang at once: no try is answered and nobody reports, so that none fails more
+// than the others, and its traffic would stay with them for as long as the list says nothing.
+func TestMute(t *testing.T) {
+	p := pilot(t, nil)
+	p.gather(6, func() []Note { return tries(0, 3, 0, 0.3, 0, 1) })
+	p.gather(8, func() []Note { return append(tries(0, 0, 9, -1, 0, 1), tries(1, 20, 0, 0.3, 2, 3, 4, 5)...) })
+	assert.Contains(t, strings.Join(p.logs, "\n"), "endpoint 0 zone 0: out, good 0.")
+	assert.Greater(t, p.share(0, 2, 3, 4, 5), 0.7)
+}
+
+// TestRush guards a cold endpoint while reqs come again and again: what it may get goes by how often they do.
+func TestRush(t *testing.T) {
+	var shares []float64
+	for _, reqs := range []int{20, 60} {
+		p := pilot(t, func(terms map[string]any, _ []Entry) { terms["ejects_after"] = 0.0 })
+		notes := func() []Note {
+			all := tries(0, 20, 0, 0.3, 0, 1, 2, 3, 4, 5)
+			for k := range 2 {
+				all = append(all, Demand{Proxy: 0, Kind: k, Reqs: reqs / 2, SpanMs: 1000})
+			}
+			return all
+		}
+		p.gather(40, notes)
+		p.step(Listing{Mode: Changes, Entries: []Entry{{Endpoint: 0, Zone: 0, Weight: 2, Started: p.now - 5000}}})
+		p.gather(1, notes)
+		shares = append(shares, p.share(0, 0))
+	}
+	assert.Less(t, shares[1], 0.7*shares[0], "%v", shares)
+}
+
 // TestColdAmongTrials guards a cold endpoint while all warm ones that its zone reaches are on trial: what the trials may not
 // take does not fall to it (incident 019).
 func TestColdAmongTrials(t *testing.T) {
--- /dev/null
+++ b/internal/standin/proxy/pool_test.go
@@ -0,0 +1,70 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"indigousher/internal/wire"
+)
+
+// frail is a connection that breaks in the middle of what is written.
+type frail struct {
+	net.Conn
+	bears int
+}
+
+func (f *frail) Write(b []byte) (int, error) {
+	if len(b) <= f.bears {
+		return f.Conn.Write(b)
+	}
+	_, _ = f.Conn.Write(b[:f.bears])
+	_ = f.Conn.Close()
+	return f.bears, errors.New("broken")
+}
+
+// TestProof guards what counts as proof that a try never ran: that no connection came about does, that one broke while the
+// req was written, or before its answer, does not, as the endpoint may have had all of it.
+func TestProof(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = wire.NewReader(c, 0).Read()
+				_ = c.Close()
+			}()
+		}
+	}()
+	for name, x := range map[string]struct {
+		dial  Dial
+		never bool
+	}{
+		"no connection": {func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") }, true},
+		"broken while it is written": {func(ctx context.Context, network, at string) (net.Conn, error) {
+			c, err := (&net.Dialer{}).DialContext(ctx, network, at)
+			return &frail{c, 7}, err
+		}, false},
+		"broken before the answer": {(&net.Dialer{}).DialContext, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := NewAsker(l.Addr().String(), x.dial, time.Second)
+			defer a.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err := a.Ask(ctx, &wire.Req{Name: 1, Kind: "book", From: "client", WorkMs: 1, LimitMs: 1000})
+			require.Error(t, err)
+			assert.Equal(t, x.never, Never(err), "%v", err)
+		})
+	}
+}
