--- a/intake/intake.go
+++ b/intake/intake.go
@@ -89,7 +89,6 @@
 	Endpoint, Zone int
 	Tries, Failed  float64
 	MeanMs, SpanMs float64
-	AgeMs          float64
 	Load           L
 	HasLoad        bool
 }
@@ -160,8 +159,7 @@
 	started float64
 	listed  bool
 	drains  bool
-	failing bool    // seen to fail when last told
-	tries   float64 // and how much came, fading
+	failing bool // seen to fail when last told
 }
 
 // New returns an intake that nobody has joined.
@@ -281,7 +279,7 @@
 		in.Counts[Stranger] += uint64(lines)
 		return
 	}
-	in.share.note(s, nowMs, float64(lines))
+	s.offered += float64(lines)
 	if reason, ok := in.check(s, r); !ok {
 		in.Counts[reason] += uint64(lines)
 		return
--- a/intake/share.go
+++ b/intake/share.go
@@ -29,8 +29,6 @@
 	return t.LinesPerS
 }
 
-func (sh *shares) note(s *sender, _ float64, lines float64) { s.offered += lines }
-
 // tokens returns the lines that a sender may bring now.
 func (sh *shares) tokens(s *sender, nowMs float64, t Terms) float64 {
 	if t.LinesPerS <= 0 {
--- a/intake/tell.go
+++ b/intake/tell.go
@@ -37,7 +37,6 @@
 		if s.ofDemand {
 			out.Demands = append(out.Demands, in.tellDemand(s, now))
 		} else if m, ok := in.tellMet(s, now); ok {
-			m.AgeMs = out.Ages[len(out.Ages)-1]
 			out.Mets = append(out.Mets, m)
 		}
 	}
--- a/internal/search/search.go
+++ b/internal/search/search.go
@@ -27,9 +27,6 @@
 	Events  uint64
 }
 
-// Nearest returns how near the day came to any limit.
-func (f *Find) Nearest() float64 { return slices.Max(f.Near[:]) }
-
 // Search plays drawn days.
 type Search struct {
 	Decide func(seed int64, terms map[string]any) pilot.Decider // nil: the module
--- a/internal/standin/links/links.go
+++ b/internal/standin/links/links.go
@@ -263,25 +263,3 @@
 		}
 	}
 }
-
-// Packet puts the weather onto a socket for datagrams: they are lost where a stream would wait.
-func (n *Net) Packet(inner net.PacketConn, from Place) net.PacketConn {
-	n.Put(inner.LocalAddr().String(), from)
-	return &packets{PacketConn: inner, net: n, from: from}
-}
-
-type packets struct {
-	net.PacketConn
-	net  *Net
-	from Place
-}
-
-func (p *packets) WriteTo(b []byte, to net.Addr) (int, error) {
-	p.net.mu.Lock()
-	place := p.net.places[to.String()]
-	p.net.mu.Unlock()
-	if open, _, loss, _ := p.net.way(p.from, place); !open || p.net.lost(loss) {
-		return len(b), nil
-	}
-	return p.PacketConn.WriteTo(b, to)
-}
