The sum of what is planned at an endpoint is worked out, not kept beside its parts

A stored figure that could be worked out: it was brought up to date with each line, and drifted by rounding. It is now summed in table order when a load report is brought up to date.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -292,7 +292,7 @@
 	b           *Brain
 	listed      bool
 	load, heard float64 // of the last reports: load (below 0: none), and when
-	price, plan float64 // the penalty lambda; the sum of what is planned
+	price       float64 // the penalty lambda
 	speeds      histogram
 	views       map[int]*view
 	planned     map[int]float64         // reqs a second that each table shall bring
@@ -350,7 +350,7 @@
 	case Probed:
 		e.report(n.Load)
 	case SetLine:
-		e.plan, e.planned[n.Table] = e.plan+n.Weight-e.planned[n.Table], n.Weight
+		e.planned[n.Table] = n.Weight
 	case gather:
 		e.gather(n)
 	}
@@ -386,8 +386,11 @@
 func (e *endpoint) hindsight() float64 {
 	then := e.plans[lagGathers]
 	copy(e.plans[1:], e.plans[:])
-	e.plans[0] = e.plan
-	return pick(then > 0, 1+e.b.part()*(math.Max(0.25, math.Min(4, e.plan/math.Max(then, 1e-9)))-1), 1)
+	e.plans[0] = 0
+	for _, t := range slices.Sorted(maps.Keys(e.planned)) {
+		e.plans[0] += e.planned[t]
+	}
+	return pick(then > 0, 1+e.b.part()*(math.Max(0.25, math.Min(4, e.plans[0]/math.Max(then, 1e-9)))-1), 1)
 }
 
 func (b *Brain) part() float64 {
@@ -582,7 +585,7 @@
 		lines = append(lines, l)
 	}
 	near = math.Max(near, sum/float64(len(r.b.regions))) // the last of a zone is no giant
-	whole := load * near * math.Max(1, rush) // the zone's, with what comes again
+	whole := load * near * math.Max(1, rush)             // the zone's, with what comes again
 	if r.b.brief.num("ejects_after", 0) > 0 && whole/chill > 0.8*r.b.brief.num("fall_multiple", 1) {
 		cold, bend = math.Max(0, math.Min(cold, math.Min(0.25-r.failing, 0.85-load))), 3
 	}
