--- a/internal/pilot/drains_test.go
+++ b/internal/pilot/drains_test.go
@@ -243,3 +243,42 @@
 		})
 	}
 }
+
+// TestDrainsToldToHerds guards drains against proxies that come after them with tables of a pilot that knew of none, in two
+// herds one after the other: each has let go of what drains within the grace of its joining.
+func TestDrainsToldToHerds(t *testing.T) {
+	const grace = 5000.0
+	w, entries := newTown(359, 397, 3000, 14000, grace)
+	w.join(w.streams[:200], entries)
+	w.until(30000)
+	var drained []wire.Entry
+	for i := 0; i < len(entries); i += 12 {
+		e := entries[i]
+		e.Phase = wire.PhaseDraining
+		drained = append(drained, e)
+	}
+	w.handle(listed(false, drained...))
+	joined := map[string]float64{}
+	for _, herd := range []struct {
+		at   float64
+		some []*villager
+	}{{30200, w.streams[200:300]}, {31500, w.streams[300:]}} {
+		w.until(herd.at)
+		w.join(herd.some, entries)
+		for _, v := range herd.some {
+			joined[v.name] = w.now
+		}
+	}
+	worst := 0.0
+	for w.now < 50000 {
+		w.until(w.now + 50)
+		for _, v := range w.streams {
+			if slices.ContainsFunc(drained, func(e wire.Entry) bool { return v.follow.Open(0, e.Endpoint) }) {
+				worst = max(worst, w.now-max(30000, joined[v.name]))
+			}
+		}
+	}
+	t.Logf("worst drain %.0f ms, most lines %d", worst, w.core.Channel.MostSeen)
+	assert.LessOrEqual(t, worst, grace)
+	assert.LessOrEqual(t, w.core.Channel.MostSeen, 14000)
+}
