--- a/internal/pilot/core_test.go
+++ b/internal/pilot/core_test.go
@@ -226,6 +226,26 @@
 	}
 }
 
+// TestUnjoinedReports guards a proxy's sums against reports on streams that have not joined, or no longer are: they count for
+// nobody, least of all for the proxy with the first number.
+func TestUnjoinedReports(t *testing.T) {
+	d, joined, left := &script{}, &fake{}, &fake{}
+	c := NewCore(plan(d, &fake{}))
+	c.Handle(0, []Input{listed(true, entry("x", 0)), Join{joined, hello("p", "a")}, Join{left, hello("q", "a")}})
+	c.Handle(1, []Input{Leave{left}})
+	for i, s := range []Stream{&fake{}, left} {
+		c.Handle(float64(100+i), []Input{Reported{s, &wire.Sums{Seq: 1, SpanMs: 500, Met: []wire.Met{{Endpoint: "x", Tries: 4}},
+			Demand: []wire.Demand{{Kind: "book", Reqs: 5}}}}})
+	}
+	c.Handle(2200, nil)
+	for _, n := range d.notes {
+		switch n.(type) {
+		case brain.Met, brain.Demand:
+			t.Errorf("%+v", n)
+		}
+	}
+}
+
 // TestHeld guards a return, to this pilot or another, before or after a crash: of a table that the proxy has only what
 // differs is sent.
 func TestHeld(t *testing.T) {
