--- a/internal/edge/list/list.go
+++ b/internal/edge/list/list.go
@@ -156,21 +156,23 @@
 	Load  Load
 	Inbox Inbox
 	Log   *zap.Logger
-	again chan struct{}
-	wrong string    // with the file when it was last read
-	last  time.Time // when that was
+	// Settles is for how long a file stays as it is before it is read: its writer may not be done.
+	Settles time.Duration
+	again   chan struct{}
+	wrong   string    // with the file when it was last read
+	last    time.Time // when that was
 }
 
 // Figures of reading a file.
 const (
-	settles  = 50 * time.Millisecond // for which a file stays as it is before it is read: its writer may not be done
+	settles  = 50 * time.Millisecond // usually
 	longest  = time.Second           // that a file which changes all the time is not read
 	wrongFor = time.Second           // until one that could not be read is read again without having changed
 )
 
 // NewFile returns a source that has not read its file.
 func NewFile(path string, load Load, inbox Inbox, log *zap.Logger) *File {
-	return &File{Path: path, Load: load, Inbox: inbox, Log: log, again: make(chan struct{}, 1)}
+	return &File{Path: path, Load: load, Inbox: inbox, Log: log, Settles: settles, again: make(chan struct{}, 1)}
 }
 
 // Watch reads the file again; it is watched in any case.
@@ -228,7 +230,7 @@
 			if changing.IsZero() {
 				changing = now
 			}
-			if at = now.Add(settles); at.Sub(changing) > longest {
+			if at = now.Add(f.Settles); at.Sub(changing) > longest {
 				at = changing.Add(longest)
 			}
 		case err, ok := <-w.Errors:
