--- a/brain/brain.go
+++ b/brain/brain.go
@@ -801,23 +801,28 @@
 // What doesn't fit, or still has a line, is said as soon as it can be, in few messages.
 func (c *courier) shut() {
 	remind := c.newcomers > 0 && c.reminded+c.b.brief.num("drain_grace", 2000)/2 <= c.b.now
-	unbound, bound, told := map[int]float64{}, map[int]float64{}, c.told
+	unbound, bound, told, all := map[int]float64{}, map[int]float64{}, c.told, 0.0
 	for _, p := range c.proxies {
 		unbound[p.Zone] += pick(p.bound, 0, 1)
 		bound[p.Zone] += pick(p.bound, 1, 0)
+		all += pick(p.bound, 0, 1)
 	}
 	for i, since := range c.out {
-		lately := since < c.newcomers && c.b.now-since < lastingMs && unbound[c.b.bes[i].Zone] > 0
+		lately := since < c.newcomers && c.b.now-since < lastingMs && all > 0
 		if since == c.b.now || remind && lately {
 			c.untold[i] = true
 		}
 	}
+	head := c.b.brief.num("head_lines", 4) + 1 // with a mark, for whoever gets no other message now
 	for _, i := range slices.Sorted(maps.Keys(c.untold)) {
-		cost, lone := unbound[c.b.bes[i].Zone], 0.0
-		for _, p := range c.proxies { // whoever gets no other message now is sent a head and a mark with it
-			lone += pick(p.Zone == c.b.bes[i].Zone && !p.bound && c.each[p.Proxy] == 0, 1, 0)
+		zone, cost := c.b.bes[i].Zone, 0.0
+		lines := func(p *proxy) float64 { // what it costs at one that may hold it: of its zone, or spilt to it
+			may := !p.bound && (p.Zone == zone || unbound[zone] == 0)
+			return pick(may, 1+pick(c.each[p.Proxy] == 0, head, 0), 0)
+		}
+		for _, p := range c.proxies {
+			cost += lines(p)
 		}
-		cost += lone * (c.b.brief.num("head_lines", 4) + 1)
 		held := func(t *table) bool { return t.sent[i] > 0 && bound[t.number/len(c.b.groups)] > 0 }
 		fits := cost == 0 || c.sure+cost < c.b.brief.num("backlog", 1000)
 		if !fits || c.out[i] != c.b.now && told+c.pace() > c.b.now || slices.ContainsFunc(c.tables, held) {
@@ -826,9 +831,7 @@
 		c.b.order(Withdraw{i, true})
 		c.spend(cost)
 		for _, p := range c.proxies {
-			if p.Zone == c.b.bes[i].Zone && !p.bound {
-				c.each[p.Proxy] += 1 + pick(c.each[p.Proxy] == 0, c.b.brief.num("head_lines", 4)+1, 0)
-			}
+			c.each[p.Proxy] += lines(p)
 		}
 		c.told = c.b.now
 		delete(c.untold, i)
--- a/internal/pilot/drains_test.go
+++ b/internal/pilot/drains_test.go
@@ -188,6 +188,48 @@
 	}
 }
 
+// TestDrainsHeldAcrossZones guards drains against proxies that come from another pilot with lines spilt to another zone, while
+// none of that zone's own proxies waits for its tables: they are told all the same (ha15185).
+func TestDrainsHeldAcrossZones(t *testing.T) {
+	const grace = 5000.0
+	w, entries := newTown(359, 397, 3000, 14000, grace)
+	var here, coming []*villager
+	for _, v := range w.streams {
+		if v.zone == "a" {
+			coming = append(coming, v)
+		} else {
+			here = append(here, v)
+		}
+	}
+	w.join(here, entries)
+	w.until(60000)
+	var drained []wire.Entry
+	var spilt []wire.Entry
+	for i, e := range entries {
+		if e.Zone == "b" && i < 60 {
+			e.Phase = wire.PhaseDraining
+			drained = append(drained, e)
+			e.Zone = "a" // as the coming proxies hold it beside their own
+			spilt = append(spilt, e)
+		}
+	}
+	w.handle(listed(false, drained...))
+	w.until(60300)
+	w.join(coming, append(spilt, entries...))
+	worst := 0.0
+	for w.now < 75000 {
+		w.until(w.now + 50)
+		for _, v := range w.streams {
+			if slices.ContainsFunc(drained, func(e wire.Entry) bool { return v.follow.Open(0, e.Endpoint) }) {
+				worst = w.now - 60300
+			}
+		}
+	}
+	t.Logf("worst drain %.0f ms, most lines %d", worst, w.core.Channel.MostSeen)
+	assert.LessOrEqual(t, worst, grace)
+	assert.LessOrEqual(t, w.core.Channel.MostSeen, 14000)
+}
+
 // TestWholeZoneDrained guards proxies against the drain of all endpoints of their zone at once, while one pilot has all of
 // 397 and half of them may have just come: what replaces the drained lines does not wait behind others, those who have no
 // line left are bound first, and the queue stays within the backlog, heads of lone withdrawals included.
