The test of torn result stores opens a file of its own each time: 3 s in place of 62

A file whose opening ended in a panic stays locked for as long as its process lives, so each of the cases after it waited a second for the lock and passed by that error; they now say that the store is torn.

--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"indigousher/internal/record"
 )
 
 const text = `about = "a test"
@@ -91,18 +93,28 @@
 	require.NoError(t, err)
 	whole, err := os.ReadFile(r.Store)
 	require.NoError(t, err)
+	torn := 0
 	for n := 4096; n < len(whole); n += 4096 {
 		b := append([]byte(nil), whole...)
 		for i := n; i < n+64; i++ {
 			b[i] ^= 0x5a
 		}
 		for _, text := range [][]byte{whole[:n], b} {
+			r.Store = filepath.Join(t.TempDir(), "x.db") // one that ended in a panic may still be locked
 			require.NoError(t, os.WriteFile(r.Store, text, 0o600))
-			if _, err := r.Run(t.Context()); err != nil { // a page that nothing refers to may be anything
-				assert.ErrorContains(t, err, r.Store)
+			if db, err := record.OpenFile(r.Store, true); err == nil { // a page that nothing refers to may be anything
+				require.NoError(t, db.Close())
+				continue
 			}
+			torn++
+			require.NoError(t, os.WriteFile(r.Store+".again", text, 0o600))
+			r.Store += ".again"
+			_, err := r.Run(t.Context())
+			assert.ErrorIs(t, err, record.ErrTorn)
+			assert.ErrorContains(t, err, r.Store)
 		}
 	}
+	assert.Greater(t, torn, 3)
 }
 
 // TestReport guards the report against what would need a network: it holds its charts and names no address.
