--- a/brain/brain.go
+++ b/brain/brain.go
@@ -741,6 +741,9 @@
 	c.waiting, c.sure, c.written = c.waiting+lines, c.sure+lines, c.written+lines
 }
 
+// head is what a message costs beside its lines, its mark included.
+func (c *courier) head() float64 { return c.b.brief.num("head_lines", 4) + 1 }
+
 func (c *courier) flush() {
 	pace, before := c.b.brief.num("lines_per_s", 1000)/1000, c.written
 	passed := (c.b.now - c.at) * pace / 4
@@ -761,7 +764,13 @@
 }
 
 func (c *courier) bindAll() {
-	names, lit := slices.Sorted(maps.Keys(c.proxies)), map[int]bool{}
+	names, lit := []int{}, map[int]bool{}
+	for name, p := range c.proxies {
+		if !p.bound {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
 	for _, e := range c.b.bes {
 		lit[e.Zone] = lit[e.Zone] || e.listed && e.Phase == Ready
 	}
@@ -770,10 +779,7 @@
 	})
 	for _, name := range names {
 		p, lines := c.proxies[name], 0
-		if p.bound {
-			continue
-		}
-		cost, first := c.b.brief.num("head_lines", 4)+1, p.Zone*len(c.b.groups)
+		cost, first := c.head(), p.Zone*len(c.b.groups)
 		for g := range c.b.groups {
 			lines += len(c.tables[first+g].sent)
 			cost += float64(len(c.tables[first+g].sent) + len(c.tables[first+g].told) + 1)
@@ -813,7 +819,7 @@
 			c.untold[i] = true
 		}
 	}
-	head := c.b.brief.num("head_lines", 4) + 1 // with a mark, for whoever gets no other message now
+	head := c.head() // for whoever gets no other message now
 	for _, i := range slices.Sorted(maps.Keys(c.untold)) {
 		zone, cost := c.b.bes[i].Zone, 0.0
 		lines := func(p *proxy) float64 { // what it costs at one that may hold it: of its zone, or spilt to it
@@ -856,7 +862,7 @@
 		return
 	}
 	t.solved = false
-	head, written := c.b.brief.num("head_lines", 4)+1, 0.0 // with a mark
+	head, written := c.head(), 0.0
 	lines := (c.b.brief.num("backlog", 1000)/3-c.waiting)/math.Max(users, 1e-9) - head
 	lines = pick(users > 0 && t.pushed+c.pace() > c.b.now, 0, lines)
 	for _, k := range slices.Sorted(maps.Keys(t.levels)) {
--- a/internal/edge/grpcedge/server.go
+++ b/internal/edge/grpcedge/server.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc/status"
 
 	"indigousher/internal/edge/ending"
+	"indigousher/internal/edge/opening"
 	"indigousher/internal/keys"
 	"indigousher/internal/pilot"
 	"indigousher/internal/wire"
@@ -167,24 +168,11 @@
 
 // greet reads and checks the hello. What is wrong with an identity only operators hear.
 func (s *Server) greet(g grpc.BidiStreamingServer[pb.Upward, pb.Downward]) (*wire.Hello, error) {
-	type first struct {
-		m   *pb.Upward
-		err error
-	}
-	ch := make(chan first, 1)
-	go func() { m, err := g.Recv(); ch <- first{m, err} }()
-	timer := time.NewTimer(s.door.HelloIn)
-	defer timer.Stop()
-	var f first
-	select {
-	case f = <-ch:
-	case <-timer.C:
-		return nil, status.Error(codes.DeadlineExceeded, "a hello must come first")
-	}
-	if f.err != nil {
-		return nil, f.err
+	m, err := opening.First(s.door.HelloIn, "a hello must come first", g.Recv)
+	if err != nil {
+		return nil, err
 	}
-	h := f.m.GetHello()
+	h := m.GetHello()
 	if h == nil {
 		return nil, status.Error(codes.InvalidArgument, "a hello must come first")
 	}
--- a/internal/edge/list/list.go
+++ b/internal/edge/list/list.go
@@ -244,9 +244,8 @@
 }
 
 func (f *File) read(ctx context.Context) {
-	var in pilot.Input
 	l, err := f.Load(f.Path)
-	in = pilot.Listed{List: l}
+	var in pilot.Input = pilot.Listed{List: l}
 	was := f.wrong
 	f.wrong, f.last = "", time.Now()
 	if err != nil {
--- a/internal/edge/xdsedge/xdsedge.go
+++ b/internal/edge/xdsedge/xdsedge.go
@@ -36,6 +36,7 @@
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"indigousher/internal/edge/ending"
+	"indigousher/internal/edge/opening"
 	"indigousher/internal/pilot"
 	"indigousher/internal/wire"
 )
@@ -55,6 +56,7 @@
 	millions     = 1_000_000
 	mostRefusals = 3 // in a row
 	mostNames    = 64
+	silent       = "nothing was said"
 	mostMarks    = 1024 // that wait for a proxy which asks for no endpoints; older ones are forgotten
 )
 
@@ -112,29 +114,9 @@
 	}
 }
 
-// opening waits for a stream's first message, no longer than a hello may take: a stream that says nothing is ended, as
-// it would stand for as long as its connection does. The waiting itself ends with the stream.
-func opening[M any](within time.Duration, recv func() (M, error)) (M, error) {
-	type first struct {
-		m   M
-		err error
-	}
-	came := make(chan first, 1)
-	go func() { m, err := recv(); came <- first{m, err} }()
-	timer := time.NewTimer(within)
-	defer timer.Stop()
-	select {
-	case f := <-came:
-		return f.m, f.err
-	case <-timer.C:
-		var none M
-		return none, status.Error(codes.DeadlineExceeded, "nothing was said")
-	}
-}
-
 // StreamAggregatedResources serves one proxy.
 func (s *Server) StreamAggregatedResources(g ads.AggregatedDiscoveryService_StreamAggregatedResourcesServer) error {
-	first, err := opening(s.door.HelloIn, g.Recv)
+	first, err := opening.First(s.door.HelloIn, silent, g.Recv)
 	if err != nil {
 		return err
 	}
@@ -246,7 +228,7 @@
 
 // StreamLoadStats takes one proxy's load reports.
 func (s *Server) StreamLoadStats(g lrs.LoadReportingService_StreamLoadStatsServer) error {
-	first, err := opening(s.door.HelloIn, g.Recv)
+	first, err := opening.First(s.door.HelloIn, silent, g.Recv)
 	if err != nil {
 		return err
 	}
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -273,9 +273,7 @@
 		}
 	}
 	for _, n := range names {
-		if n == "" || len(n) > wire.MaxText {
-			say("a name of %d bytes, 1 to %d are wanted: %.40q", len(n), wire.MaxText, n)
-		}
+		diags = append(diags, named(at, n, 1)...)
 	}
 	if tables := len(p.Zones) * max(1, len(p.Kinds)); tables >= wire.EveryTable {
 		say("%d zones and %d kinds of req want %d tables, fewer than %d may be", len(p.Zones), len(p.Kinds), tables, wire.EveryTable)
@@ -316,6 +314,14 @@
 	return diags
 }
 
+// named complains of a name that the wire can't carry.
+func named(at hcl.Range, name string, least int) hcl.Diagnostics {
+	if len(name) >= least && len(name) <= wire.MaxText {
+		return nil
+	}
+	return hcl.Diagnostics{complaint(at, "a name of %d bytes, %d to %d are wanted: %.40q", len(name), least, wire.MaxText, name)}
+}
+
 // repeated returns the first name that stands in a list a second time.
 func repeated(list []string) (string, bool) {
 	seen := map[string]bool{}
@@ -462,11 +468,9 @@
 			if seen[e.Endpoint] {
 				diags = append(diags, complaint(b.SrcRange, "endpoint %q stands here twice", e.Endpoint))
 			}
-			for _, name := range []string{e.Endpoint, e.Zone, e.Machine} {
-				if len(name) > wire.MaxText || e.Endpoint == "" {
-					diags = append(diags, complaint(b.SrcRange, "a name of %d bytes, 1 to %d are wanted: %.40q", len(name), wire.MaxText, name))
-				}
-			}
+			diags = append(diags, named(b.SrcRange, e.Endpoint, 1)...)
+			diags = append(diags, named(b.SrcRange, e.Zone, 0)...)
+			diags = append(diags, named(b.SrcRange, e.Machine, 0)...)
 			if !brain.SoundWeight(e.Weight) {
 				diags = append(diags, complaint(b.SrcRange, "weight %g: 0 or %g to %g is wanted", e.Weight, 1/brain.MostFigure, brain.MostFigure))
 			}
