A pilot runs live on the operators' platform: configuration, door, relay, discovery

The operators want the product itself in service. internal/platform puts their configuration file, the door for collectors and strangers, the relay and discovery's agent around the loop and module that are there; the core hands a turn's orders to a Relay as one call and paces nothing itself.

--- a/cmd/indigousher/main.go
+++ b/cmd/indigousher/main.go
@@ -35,12 +35,19 @@
 
 func pilotCommand() *cobra.Command {
 	var file string
-	var takeOver bool
+	var takeOver, onPlatform bool
 	c := &cobra.Command{Use: "pilot -f FILE", Short: "Run a pilot until it is told to stop (SIGTERM); SIGHUP reloads",
-		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error { return runPilot(cmd.Context(), file, takeOver) }}
+		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+			if onPlatform {
+				return runOnPlatform(cmd.Context())
+			}
+			return runPilot(cmd.Context(), file, takeOver)
+		}}
 	c.Flags().StringVarP(&file, "file", "f", "", "the pilot's terms, in HCL")
 	c.Flags().BoolVar(&takeOver, "take-over", false, "take listeners and state over from the pilot that runs with these terms")
-	_ = c.MarkFlagRequired("file") // fails only for a flag that does not exist
+	c.Flags().BoolVar(&onPlatform, "platform", false, "run on the operators' platform: NODE_CONFIG names the terms")
+	c.MarkFlagsOneRequired("file", "platform")
+	c.MarkFlagsMutuallyExclusive("file", "platform")
 	return c
 }
 
--- a/internal/pilot/core.go
+++ b/internal/pilot/core.go
@@ -63,7 +63,10 @@
 }
 
 // Listed brings entries of the list.
-type Listed struct{ List *wire.List }
+type Listed struct {
+	List       *wire.List
+	Remembered bool // as it was before this start; it may be old
+}
 
 // SliceGiven reports that the store has given a slice into this pilot's charge or taken it away.
 type SliceGiven struct{ Slices *wire.Slices }
@@ -105,6 +108,7 @@
 	List                   ListSource
 	Prober                 Prober
 	Peers                  Peers
+	Relay                  Relay                               // where others hold the streams; nil: they are ours
 	Log                    func(text string)                   // the module's own lines
 	Odd                    func(what string, fields ...string) // what an edge said that can't be used
 	Meter                  *Meter
@@ -163,6 +167,9 @@
 	touched                           []*session
 	sorted                            []*session // by proxy; nil: to be made
 	begun                             bool
+	relayed                           map[int]bool  // joined proxies whose streams the relay holds
+	turn                              []brain.Order // what this turn ordered of the relay
+	Believed                          Believed
 	Heard                             int // notes handed to the module
 }
 
@@ -178,7 +185,7 @@
 // NewCore returns a core that has been told nothing.
 func NewCore(p Plan) *Core {
 	c := &Core{plan: p, sessions: map[int]*session{}, streams: map[Stream]*session{}, tables: map[int]*table{},
-		everywhere: map[int]brain.Admit{}, withdrawn: map[int]bool{}, slices: map[int]keyRange{}, stamps: map[int]startStamp{},
+		everywhere: map[int]brain.Admit{}, withdrawn: map[int]bool{}, slices: map[int]keyRange{}, relayed: map[int]bool{}, stamps: map[int]startStamp{},
 		Channel: NewChannel(p.LinesPerS, p.Backlog, p.MessagesMost, p.MessagesOverMs, p.Meter)}
 	for _, z := range p.Zones {
 		c.zones.add(z)
@@ -194,7 +201,12 @@
 }
 
 // Due returns when Handle has something to do without input, in milliseconds of its clock.
-func (c *Core) Due() float64 { return min(c.alarms.due(), c.gate.due()) }
+func (c *Core) Due() float64 {
+	if c.plan.Relay != nil { // reports come summed up
+		return c.alarms.due()
+	}
+	return min(c.alarms.due(), c.gate.due())
+}
 
 // Handle takes in what came, lets the module decide and fills the channel. Times never go back.
 func (c *Core) Handle(nowMs float64, inputs []Input) {
@@ -207,7 +219,9 @@
 		notes = append(notes, brain.Alarm{Name: name})
 	}
 	before := len(notes)
-	if c.plan.Replayed {
+	if c.plan.Relay != nil {
+		c.told = nil
+	} else if c.plan.Replayed {
 		notes = append(notes, c.told...)
 		c.told = nil
 	} else {
@@ -227,6 +241,7 @@
 		c.carryOut(o)
 	}
 	c.dispatch()
+	c.handOver()
 }
 
 // Recovered ends a replay: whoever was joined has left, and what is ordered from now on goes out by the plan's edges.
@@ -252,7 +267,7 @@
 	for _, name := range slices.Sorted(maps.Keys(c.listed)) {
 		l.Entries = append(l.Entries, c.listed[name])
 	}
-	inputs := []Input{Listed{l}}
+	inputs := []Input{Listed{List: l}}
 	for _, s := range c.inOrder() {
 		inputs = append(inputs, Join{s.stream, s.hello})
 	}
@@ -289,7 +304,7 @@
 			return append(notes, brain.Applied{Proxy: s.proxy, Number: in.Done.Mark, TookMs: in.Done.TookMs})
 		}
 	case Listed:
-		return append(notes, c.listing(in.List))
+		return append(notes, c.listing(in))
 	case SliceGiven:
 		return c.slice(notes, in.Slices)
 	case ListLost:
@@ -312,6 +327,8 @@
 	case Retermed:
 		maps.Copy(c.plan.Terms, in.Terms)
 		c.Channel.Reterm(in.Terms)
+	default:
+		return c.relayedNote(notes, in)
 	}
 	return notes
 }
@@ -392,11 +409,15 @@
 
 // listing turns list entries into a note. A start is told as its age on this pilot's clock when its stamp was first
 // seen, and stays so: the module takes any other figure for a restart.
-func (c *Core) listing(l *wire.List) brain.Note {
+func (c *Core) listing(in Listed) brain.Note {
+	l := in.List
 	out, named, before := brain.Listing{Mode: brain.Changes, Version: l.Version}, map[int]bool{}, c.listed
 	c.listVersion, c.listNow, c.listAt = l.Version, l.Now, c.now
 	if l.Whole {
 		out.Mode = brain.Whole
+		if in.Remembered {
+			out.Mode = brain.Remembered
+		}
 		c.listed = map[string]wire.Entry{}
 	}
 	for _, e := range l.Entries {
@@ -474,6 +495,9 @@
 
 // carryOut does one order.
 func (c *Core) carryOut(o brain.Order) {
+	if c.relay(o) {
+		return
+	}
 	switch o := o.(type) {
 	case brain.SetLine:
 		c.setLine(o)
--- /dev/null
+++ b/internal/pilot/relayed.go
@@ -0,0 +1,151 @@
+package pilot
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"indigousher/brain"
+	"indigousher/internal/translate"
+)
+
+// Relay carries what one turn ordered to proxies whose streams others hold. It queues and paces by itself: the core
+// lays no messages out and its channel stays empty. Carry must not block and keeps nothing of what it is given.
+type Relay interface {
+	Carry(turn []brain.Order, endpoint func(i int) string)
+	// Gone says that what waits for a proxy is void.
+	Gone(proxy int)
+}
+
+// Relayed says that a proxy, known by its number, has joined the relay in this pilot's charge.
+type Relayed struct {
+	Proxy int
+	Zone  string
+	Rate  float64
+	Fresh bool
+}
+
+// Unrelayed says that it has left.
+type Unrelayed struct{ Proxy int }
+
+// RelayApplied says that it has applied everything up to a mark.
+type RelayApplied struct {
+	Proxy, Mark int
+	TookMs      float64
+}
+
+// ZoneMet is a line of what the proxies of a zone met, summed up elsewhere.
+type ZoneMet struct {
+	Zone, Endpoint string
+	Tries, Failed  int
+	MeanMs, SpanMs float64
+	Load           map[string]float64
+}
+
+// ProxyDemand is a line of what came to a proxy, summed up elsewhere.
+type ProxyDemand struct {
+	Proxy            int
+	Kind             string
+	Reqs, Unanswered int
+	SpanMs           float64
+}
+
+// relayedNote turns an input about relayed proxies into notes.
+func (c *Core) relayedNote(notes []brain.Note, in Input) []brain.Note {
+	switch in := in.(type) {
+	case Relayed:
+		return c.relayedJoin(notes, in)
+	case Unrelayed:
+		return c.relayedLeave(notes, in.Proxy)
+	case RelayApplied:
+		if c.relayed[in.Proxy] {
+			return append(notes, brain.Applied{Proxy: in.Proxy, Number: in.Mark, TookMs: in.TookMs})
+		}
+	case ZoneMet:
+		zone, known := c.zones.find(in.Zone)
+		endpoint, listed := c.endpoints.find(in.Endpoint)
+		if !known || !listed {
+			c.odd("report of an unknown zone or endpoint")
+			return notes
+		}
+		c.Believed.Reports++
+		return append(notes, brain.Met{Endpoint: endpoint, Zone: zone, Tries: in.Tries, Failed: in.Failed,
+			MeanMs: in.MeanMs, SpanMs: in.SpanMs, Load: translate.Load(in.Load)})
+	case ProxyDemand:
+		kind, known := c.kinds.find(in.Kind)
+		if !known || !c.provides(in.Proxy) {
+			c.odd("demand of an unknown req kind or proxy")
+			return notes
+		}
+		c.Believed.Reports++
+		return append(notes, brain.Demand{Proxy: in.Proxy, Kind: kind, Reqs: in.Reqs, Unanswered: in.Unanswered,
+			SpanMs: in.SpanMs})
+	}
+	return notes
+}
+
+// provides returns whether the terms tell of a proxy of that number.
+func (c *Core) provides(proxy int) bool { return proxy >= 0 && proxy < c.plan.MostProxies }
+
+func (c *Core) relayedJoin(notes []brain.Note, in Relayed) []brain.Note {
+	zone, known := c.zones.find(in.Zone)
+	if !known || !c.provides(in.Proxy) || !brain.Sound(in.Rate) {
+		c.odd("proxy of an unknown number or zone", fmt.Sprint(in.Proxy), in.Zone)
+		return notes
+	}
+	notes = c.relayedLeave(notes, in.Proxy)
+	c.relayed[in.Proxy] = true
+	return append(notes, brain.Joined{Proxy: in.Proxy, Zone: zone, Rate: in.Rate, Fresh: in.Fresh})
+}
+
+func (c *Core) relayedLeave(notes []brain.Note, proxy int) []brain.Note {
+	if !c.relayed[proxy] {
+		return notes
+	}
+	delete(c.relayed, proxy)
+	c.plan.Relay.Gone(proxy)
+	return append(notes, brain.Left{Proxy: proxy})
+}
+
+// Believed counts what the core has come to hold of the platform, for the pilot's own book-keeping.
+type Believed struct {
+	Reports, Proxies, Listed, Endpoints int
+}
+
+// Belief returns the counts as they stand.
+func (c *Core) Belief() Believed {
+	b := c.Believed
+	b.Proxies, b.Listed, b.Endpoints = len(c.relayed), len(c.listed), c.endpoints.len()
+	return b
+}
+
+// RelayedProxies returns who is joined, by number.
+func (c *Core) RelayedProxies() []int { return slices.Sorted(maps.Keys(c.relayed)) }
+
+// relay collects an order for the relay, if that is where it goes.
+func (c *Core) relay(o brain.Order) bool {
+	if c.plan.Relay == nil {
+		return false
+	}
+	switch o := o.(type) {
+	case brain.Bind:
+		if !c.relayed[o.Proxy] {
+			c.odd("bind of a proxy that has left", fmt.Sprint(o.Proxy))
+			return true
+		}
+	case brain.SetLine, brain.ClearTable, brain.Withdraw, brain.Admit, brain.Mark:
+	default:
+		return false
+	}
+	c.turn = append(c.turn, o)
+	return true
+}
+
+// handOver gives the relay what the turn ordered.
+func (c *Core) handOver() {
+	if len(c.turn) > 0 {
+		c.plan.Relay.Carry(c.turn, c.endpoints.name)
+		clear(c.turn)
+		c.turn = c.turn[:0]
+	}
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,147 @@
+// Package platform runs the pilot on the operators' platform: the same module and loop as elsewhere, with the platform's
+// configuration, door, relay and discovery around it. It wires and decides nothing; cmd/indigousher calls it.
+package platform
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"indigousher/brain"
+	"indigousher/internal/edge/peers"
+	"indigousher/internal/edge/probe"
+	"indigousher/internal/pilot"
+	"indigousher/internal/platform/agent"
+	"indigousher/internal/platform/config"
+	"indigousher/internal/platform/door"
+	"indigousher/internal/platform/relay"
+)
+
+// Figures of the pilot's own.
+const (
+	memoryPart = 0.6 // of the limit: what the runtime aims to stay under
+	ownSockets = 16  // descriptors for all that is not the door
+	strangers  = 0.4 // of the other descriptors, for connections that have not joined
+	countEvery = 10 * time.Second
+)
+
+// Pilot is one pilot on the platform.
+type Pilot struct {
+	log       *zap.Logger
+	placement *config.Placement
+	loop      *pilot.Loop
+	core      *pilot.Core
+	door      *door.Door
+	orders    *relay.Orders
+	news      *relay.News
+	agent     *agent.Agent
+	counters  relay.Counters
+	reread    func() (*config.Placement, error)
+}
+
+// Limit sets the runtime to what the machine gives.
+func Limit(l config.Limits) {
+	runtime.GOMAXPROCS(max(1, int(l.Cores)))
+	debug.SetMemoryLimit(int64(l.MemoryMB * memoryPart * (1 << 20)))
+}
+
+// New puts a pilot together. Reread reads the configuration again.
+func New(p *config.Placement, reread func() (*config.Placement, error), log *zap.Logger) *Pilot {
+	x := &Pilot{log: log, placement: p, reread: reread}
+	kinds := p.Deployment.Kinds.All()
+	x.orders = relay.NewOrders(p.Relay.Address, kinds, &x.counters, log)
+	box := &inbox{}
+	x.agent = agent.New(p.Discovery, !p.OnRequest, box, log)
+	x.news = relay.NewNews(p.Relay.Address, box, &x.counters, log)
+	spare := float64(p.Limits.Sockets - ownSockets)
+	x.door = door.New(p.Deployment.Zones.All(), int(spare*strangers), box, log)
+	x.core = pilot.NewCore(pilot.Plan{Decider: brain.New(p.Seed, p.Deployment.Terms), Terms: p.Deployment.Terms,
+		Zones: p.Deployment.Zones.All(), Machines: p.Deployment.Machines.All(), Kinds: kinds, MostProxies: p.Proxies,
+		List: x.agent, Prober: probe.Never{}, Peers: peers.Nobody{}, Relay: x.orders,
+		Log: func(text string) { log.Info(text) }, Odd: func(what string, fields ...string) {
+			log.Debug("odd", zap.String("what", what), zap.Strings("fields", fields))
+		}})
+	x.loop = pilot.NewLoop(x.core, pilot.RealClock{}, log)
+	box.loop = x.loop
+	return x
+}
+
+// inbox is the loop, which is made after those who post to it.
+type inbox struct{ loop *pilot.Loop }
+
+// Post hands an input to the loop.
+func (b *inbox) Post(ctx context.Context, in pilot.Input) error { return b.loop.Post(ctx, in) }
+
+// Run listens and runs until ctx ends.
+func (x *Pilot) Run(ctx context.Context, reload <-chan struct{}) error {
+	l, err := net.Listen("tcp", x.placement.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	if known := x.placement.Remembered; known != nil {
+		if err := x.loop.Post(ctx, pilot.Listed{List: known, Remembered: true}); err != nil {
+			return err
+		}
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return x.loop.Run(ctx) })
+	g.Go(func() error { return x.door.Serve(ctx, l) })
+	g.Go(func() error { return x.orders.Run(ctx) })
+	for i := range relay.Lines {
+		g.Go(func() error { return x.news.Run(ctx, i) })
+	}
+	g.Go(func() error { return x.agent.Run(ctx) })
+	g.Go(func() error { return x.watch(ctx, reload) })
+	return g.Wait()
+}
+
+// watch reloads when told to and prints the counters now and then.
+func (x *Pilot) watch(ctx context.Context, reload <-chan struct{}) error {
+	t := time.NewTicker(countEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-reload:
+			x.reload()
+		case <-t.C:
+			x.count()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// reload reads the configuration again. A wrong one changes nothing.
+func (x *Pilot) reload() {
+	now, err := x.reread()
+	if err != nil {
+		x.log.Error("reload refused, the old configuration stands", zap.Error(err))
+		return
+	}
+	x.log.Info("reloaded", zap.String("discovery", now.Discovery), zap.String("relay", now.Relay.Address),
+		zap.Strings("want a restart", config.Restart(x.placement, now)))
+	x.agent.Move(now.Discovery)
+	x.orders.Move(now.Relay.Address)
+	x.news.Move(now.Relay.Address)
+}
+
+// count prints what is believed beside what crossed the sockets.
+func (x *Pilot) count() {
+	d, c, a := &x.door.Counters, &x.counters, &x.agent.Counters
+	s := x.loop.State()
+	x.log.Info("counted", zap.Int("proxies", s.Proxies), zap.Int("endpoints", s.Endpoints),
+		zap.Int64("orders", c.Made.Load()), zap.Int64("taken", c.Taken.Load()), zap.Int64("outdated", c.Outdated.Load()),
+		zap.Int64("dropped", c.Dropped.Load()), zap.Int64("uncertain", c.Uncertain.Load()),
+		zap.Int64("calls", c.Calls.Load()), zap.Int64("failed", c.Failed.Load()),
+		zap.Int64("news", c.News.Load()), zap.Int64("gaps", c.Gaps.Load()),
+		zap.Int64("reports", d.Reports.Load()), zap.Int64("spoilt", d.Spoilt.Load()),
+		zap.Int64("accepted", d.Accepted.Load()), zap.Int64("refused", d.Refused.Load()),
+		zap.Int64("silent", d.Silent.Load()), zap.Int64("evicted", d.Evicted.Load()),
+		zap.Int64("list calls", a.Calls.Load()), zap.Int64("failed calls", a.Failed.Load()), zap.Int64("lists", a.Lists.Load()))
+}
--- /dev/null
+++ b/internal/platform/relay/news.go
@@ -0,0 +1,293 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"indigousher/internal/pilot"
+)
+
+// Lines is how many connections carry the news: while one breaks the other goes on.
+const Lines = 2
+
+// Figures of news.
+const (
+	silence   = 2500 * time.Millisecond // a sign of life comes every second; a line silent for longer is dead
+	freshFor  = 1300 * time.Millisecond // a line that said something since then lives
+	standsFor = 200 * time.Millisecond  // by then what stands at the opening has been told
+	gapMost   = 300 * time.Millisecond  // a proxy takes longer than that to come back on a new stream
+	redial    = 30 * time.Millisecond
+	mostEvent = 1 << 16
+	mostMarks = 8 // answers to marks remembered of each proxy
+)
+
+// Inbox is where inputs go: the runtime's loop.
+type Inbox interface {
+	Post(ctx context.Context, in pilot.Input) error
+}
+
+// event is one line of news.
+type event struct {
+	Type   string `json:"type"`
+	Object struct {
+		Node     *int     `json:"node"`
+		Locality string   `json:"locality"`
+		Rate     float64  `json:"w"`
+		Cold     bool     `json:"cold"`
+		Nonce    *int     `json:"nonce"`
+		Latency  *float64 `json:"latency"`
+	} `json:"object"`
+}
+
+// member is what is known of a proxy that stands.
+type member struct {
+	zone  string
+	marks [mostMarks]int // answered lately, plus 1
+	next  int
+}
+
+// line is one of the connections.
+type line struct {
+	open     bool
+	opened   time.Time
+	heard    time.Time
+	address  string
+	cut      context.CancelFunc
+	standing map[int]bool // told since the opening; nil: no longer counted
+	gap      bool         // nothing else carried the news when it opened
+	long     bool         // for so long that a proxy may have left and come back
+}
+
+// News reads the relay's news on two connections and makes one sequence of it: what one of them has told already the
+// other tells in vain. Only where both were broken is anything inferred from what stands at the next opening.
+type News struct {
+	Counters *Counters
+	inbox    Inbox
+	log      *zap.Logger
+	dial     dialer
+	mu       sync.Mutex
+	address  string
+	members  map[int]*member
+	lines    [Lines]line
+	covered  time.Time // until when the news is known to be whole; zero: nothing has been told
+}
+
+// NewNews returns a reader of a relay's news.
+func NewNews(address string, inbox Inbox, c *Counters, log *zap.Logger) *News {
+	d := net.Dialer{Timeout: dialWithin}
+	return &News{Counters: c, inbox: inbox, log: log, dial: d.DialContext, address: address, members: map[int]*member{}}
+}
+
+// Move has the lines go to another address, one after another: the second leaves when the first stands there.
+func (n *News) Move(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.address == address {
+		return
+	}
+	n.address = address
+	if cut := n.lines[0].cut; cut != nil {
+		cut()
+	}
+}
+
+// Run reads one of the lines until ctx ends; there is one call for each.
+func (n *News) Run(ctx context.Context, i int) error {
+	for ctx.Err() == nil {
+		cctx, cancel := context.WithCancel(ctx)
+		n.mu.Lock()
+		address := n.address
+		n.lines[i].cut, n.lines[i].address = cancel, address
+		n.mu.Unlock()
+		err := n.read(cctx, address, i)
+		cancel()
+		n.closed(i)
+		if ctx.Err() == nil {
+			n.log.Debug("news line ended", zap.Int("line", i), zap.Error(err))
+			sleep(ctx, redial)
+		}
+	}
+	return nil
+}
+
+// read opens a line and reads it to its end.
+func (n *News) read(ctx context.Context, address string, i int) error {
+	conn, err := n.dial(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("dial relay: %w", err)
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	if err := conn.SetDeadline(time.Now().Add(silence)); err != nil {
+		return fmt.Errorf("set deadline: %w", err)
+	}
+	if _, err := conn.Write([]byte("GET /v1/events HTTP/1.1\r\nHost: " + address + "\r\n\r\n")); err != nil {
+		return fmt.Errorf("ask for news: %w", err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReaderSize(conn, 16384), nil)
+	if err != nil {
+		return fmt.Errorf("read news: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("read news: status %d", resp.StatusCode)
+	}
+	n.opened(i)
+	ended := time.AfterFunc(standsFor, func() { n.stands(ctx, i) })
+	defer ended.Stop()
+	s := bufio.NewScanner(resp.Body)
+	s.Buffer(make([]byte, 0, 4096), mostEvent)
+	for s.Scan() {
+		if err := conn.SetReadDeadline(time.Now().Add(silence)); err != nil {
+			return fmt.Errorf("set deadline: %w", err)
+		}
+		if err := n.take(ctx, i, s.Bytes()); err != nil {
+			return err
+		}
+	}
+	if s.Err() != nil {
+		return fmt.Errorf("read news: %w", s.Err())
+	}
+	return errors.New("news ended")
+}
+
+// opened notes that a line begins, and whether the news has a gap before it.
+func (n *News) opened(i int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now, l := time.Now(), &n.lines[i]
+	l.open, l.opened, l.heard, l.standing, l.gap, l.long = true, now, now, map[int]bool{}, true, true
+	for j := range n.lines {
+		if o := &n.lines[j]; j != i && o.open && now.Sub(o.heard) < freshFor {
+			l.gap = false
+		}
+	}
+	if l.gap {
+		if l.long = !n.covered.IsZero() && now.Sub(n.covered) > gapMost; !n.covered.IsZero() {
+			n.Counters.Gaps.Add(1)
+			n.log.Warn("gap in the news", zap.Duration("for", now.Sub(n.covered)))
+		}
+	}
+	for j := range n.lines { // those at an address that was left
+		if o := &n.lines[j]; j != i && o.address != n.address && o.cut != nil {
+			o.cut()
+		}
+	}
+}
+
+// closed notes that a line has ended. Where the other began after this one last said anything, or while this one had yet
+// to tell what stands after a gap, what happened in between neither has told: the other opens anew.
+func (n *News) closed(i int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &n.lines[i]
+	if !l.open {
+		return
+	}
+	untold := l.gap && l.standing != nil
+	l.open, l.standing = false, nil
+	if !untold && l.heard.After(n.covered) {
+		n.covered = l.heard
+	}
+	for j := range n.lines {
+		if o := &n.lines[j]; j != i && o.open && !o.gap && (untold || o.opened.After(l.heard)) {
+			o.open, o.standing = false, nil
+			o.cut()
+		}
+	}
+}
+
+// stands ends the opening of a line: after a gap, proxies that were not told have left.
+func (n *News) stands(ctx context.Context, i int) {
+	n.mu.Lock()
+	l := &n.lines[i]
+	var left []int
+	if l.open && l.standing != nil {
+		if l.gap {
+			for p := range n.members {
+				if !l.standing[p] {
+					left = append(left, p)
+				}
+			}
+		}
+		l.standing = nil
+	}
+	slices.Sort(left)
+	for _, p := range left {
+		delete(n.members, p)
+		_ = n.inbox.Post(ctx, pilot.Unrelayed{Proxy: p}) // fails only when all ends
+	}
+	n.mu.Unlock()
+}
+
+// take takes one line of news in.
+func (n *News) take(ctx context.Context, i int, text []byte) error {
+	var e event
+	if err := json.Unmarshal(text, &e); err != nil {
+		return fmt.Errorf("unreadable news: %w", err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lines[i].heard = time.Now()
+	if e.Type == "" || e.Object.Node == nil {
+		return nil // a sign of life
+	}
+	n.Counters.News.Add(1)
+	in := n.sort(&n.lines[i], &e)
+	if in == nil {
+		return nil
+	}
+	return n.inbox.Post(ctx, in)
+}
+
+// sort returns what an event says that is new; nil: nothing.
+func (n *News) sort(l *line, e *event) pilot.Input {
+	p := *e.Object.Node
+	m := n.members[p]
+	switch e.Type {
+	case "joined":
+		again := l.standing != nil && l.gap && !l.standing[p] && (l.long || e.Object.Cold)
+		if l.standing != nil {
+			l.standing[p] = true
+		}
+		if m != nil && m.zone == e.Object.Locality && !again {
+			return nil
+		}
+		n.members[p] = &member{zone: e.Object.Locality}
+		return pilot.Relayed{Proxy: p, Zone: e.Object.Locality, Rate: e.Object.Rate, Fresh: e.Object.Cold}
+	case "left":
+		if l.standing != nil {
+			delete(l.standing, p)
+		}
+		if m != nil {
+			delete(n.members, p)
+			return pilot.Unrelayed{Proxy: p}
+		}
+	case "applied":
+		if m != nil && e.Object.Nonce != nil && e.Object.Latency != nil && m.answers(*e.Object.Nonce) {
+			return pilot.RelayApplied{Proxy: p, Mark: *e.Object.Nonce, TookMs: *e.Object.Latency}
+		}
+	}
+	return nil
+}
+
+// answers returns whether an answer to a mark has not been told before.
+func (m *member) answers(mark int) bool {
+	if slices.Contains(m.marks[:], mark+1) {
+		return false
+	}
+	m.marks[m.next%mostMarks] = mark + 1
+	m.next++
+	return true
+}
--- /dev/null
+++ b/internal/platform/relay/relay.go
@@ -0,0 +1,339 @@
+// Package relay speaks with the platform's relay, which holds the proxies' streams: what one turn of the module orders
+// goes out as one call, in order, and news of the proxies comes in. The relay queues and paces; this package does so
+// only while a call is under way or the relay is out of reach. It decides nothing about routing.
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"indigousher/brain"
+)
+
+// Figures of calls.
+const (
+	mostCall   = 59000                  // bytes of orders in a call; the relay takes 60,000
+	patience   = 300 * time.Millisecond // for an answer: 50 ms, and a margin for a loaded machine
+	dialWithin = 400 * time.Millisecond
+	idleMost   = 300 * time.Millisecond // a connection that stood longer may be being closed: not used again
+	pauseLeast = 20 * time.Millisecond  // after a call that failed; doubled up to the most
+	pauseMost  = 320 * time.Millisecond
+	limitPause = 100 * time.Millisecond // after the relay said that the run has not begun
+	mostBody   = 1 << 16
+	mostRefuse = 3 // times that a call may be refused before it is dropped
+)
+
+// How a call ended.
+var (
+	errNotSent   = errors.New("not carried out")
+	errUncertain = errors.New("carried out or not")
+	errLimit     = errors.New("the run has not begun")
+	errRefused   = errors.New("refused")
+)
+
+// Counters of orders, for the pilot's book-keeping.
+type Counters struct {
+	Made, Taken, Outdated, Dropped, Uncertain, Calls, Failed atomic.Int64
+	News, Gaps                                               atomic.Int64
+}
+
+type dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Orders sends orders.
+type Orders struct {
+	Counters *Counters
+	kinds    []string
+	log      *zap.Logger
+	dial     dialer
+	mu       sync.Mutex
+	address  string
+	queue    [][]op // calls to make, oldest first
+	wake     chan struct{}
+	conn     net.Conn // of the worker
+	to       string
+	reader   *bufio.Reader
+	used     time.Time
+	refused  int
+}
+
+// NewOrders returns the way out to a relay; kinds are the req kinds' names in order.
+func NewOrders(address string, kinds []string, c *Counters, log *zap.Logger) *Orders {
+	d := net.Dialer{Timeout: dialWithin}
+	return &Orders{Counters: c, kinds: kinds, log: log, dial: d.DialContext, address: address, wake: make(chan struct{}, 1)}
+}
+
+// Carry queues what one turn ordered as one call.
+func (r *Orders) Carry(turn []brain.Order, endpoint func(i int) string) {
+	var ops []op
+	for _, o := range turn {
+		if p, ok := layOut(o, endpoint, r.kinds); ok {
+			ops = append(ops, p)
+		}
+	}
+	r.Counters.Made.Add(int64(len(ops)))
+	r.mu.Lock()
+	r.queue = append(r.queue, split(ops)...)
+	if len(r.queue) > mostQueue {
+		r.join()
+	}
+	r.mu.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// mostQueue bounds the calls that wait; beyond it what is outdated goes at once.
+const mostQueue = 64
+
+// Gone drops what waits for a proxy that has left.
+func (r *Orders) Gone(proxy int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, call := range r.queue {
+		r.queue[i] = slices.DeleteFunc(call, func(o op) bool { return o.proxy == proxy })
+		r.Counters.Outdated.Add(int64(len(call) - len(r.queue[i])))
+	}
+}
+
+// Move has calls go to another address.
+func (r *Orders) Move(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.address = address
+}
+
+// split cuts orders into calls of bounded size.
+func split(ops []op) (calls [][]op) {
+	from, size := 0, 0
+	for i, o := range ops {
+		if size += len(o.text) + 1; size > mostCall {
+			calls = append(calls, ops[from:i:i])
+			from, size = i, len(o.text)+1
+		}
+	}
+	if from < len(ops) {
+		calls = append(calls, ops[from:])
+	}
+	return calls
+}
+
+// join makes one sequence of all that waits, without what is outdated. It is done after a call that failed, so that
+// what is said again never overtakes anything newer, and says no more than it must.
+func (r *Orders) join() {
+	all := slices.Concat(r.queue...)
+	kept := fresh(all)
+	r.Counters.Outdated.Add(int64(len(all) - len(kept)))
+	r.queue = split(kept)
+}
+
+// next takes the oldest call out.
+func (r *Orders) next() (call []op, address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for len(r.queue) > 0 {
+		call, r.queue = r.queue[0], r.queue[1:]
+		if len(call) > 0 {
+			return call, r.address
+		}
+	}
+	return nil, ""
+}
+
+// back puts a call, or what is left of it, before all others.
+func (r *Orders) back(call []op, joined bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.queue = append([][]op{call}, r.queue...)
+	if joined {
+		r.join()
+	}
+}
+
+// Run makes calls until ctx ends.
+func (r *Orders) Run(ctx context.Context) error {
+	defer func() { r.hangUp() }()
+	pause := pauseLeast
+	for ctx.Err() == nil {
+		call, address := r.next()
+		if call == nil {
+			select {
+			case <-r.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		taken, err := r.call(ctx, address, call)
+		if err == nil {
+			pause = pauseLeast
+			r.took(call, taken)
+			continue
+		}
+		r.Counters.Failed.Add(1)
+		r.hangUp()
+		wait := pause
+		pause = min(2*pause, pauseMost)
+		switch {
+		case errors.Is(err, errLimit):
+			wait, pause = limitPause, pauseLeast
+		case errors.Is(err, errUncertain):
+			r.Counters.Uncertain.Add(int64(len(call)))
+			r.log.Warn("call uncertain, said again", zap.Int("orders", len(call)), zap.Error(err))
+		case errors.Is(err, errRefused):
+			if r.refused++; r.refused >= mostRefuse {
+				r.log.Error("call dropped", zap.Int("orders", len(call)), zap.Error(err))
+				r.Counters.Dropped.Add(int64(len(call)))
+				r.refused, call = 0, nil
+			}
+		default:
+			r.log.Warn("call failed", zap.Int("orders", len(call)), zap.Error(err))
+		}
+		r.back(call, true)
+		sleep(ctx, wait)
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// took counts what the relay took. The order it halted at is tried once more, in case the answer was wrong, and dropped
+// then; nothing of a halted order is written, so that trying costs the proxies nothing.
+func (r *Orders) took(call []op, taken int) {
+	r.refused = 0
+	r.Counters.Taken.Add(int64(taken))
+	if taken == len(call) {
+		return
+	}
+	rest := slices.Clone(call[taken:])
+	if rest[0].tried {
+		r.log.Warn("order dropped: the relay halts at it", zap.ByteString("order", rest[0].text))
+		r.Counters.Dropped.Add(1)
+		rest = rest[1:]
+	} else {
+		rest[0].tried = true
+	}
+	if len(rest) > 0 {
+		r.back(rest, false)
+	}
+}
+
+func (r *Orders) hangUp() {
+	if r.conn != nil {
+		_ = r.conn.Close()
+		r.conn = nil
+	}
+}
+
+// call makes one call and returns how many orders were taken.
+func (r *Orders) call(ctx context.Context, address string, call []op) (taken int, err error) {
+	r.Counters.Calls.Add(1)
+	if r.conn != nil && (r.to != address || time.Since(r.used) > idleMost || closed(r.conn)) {
+		r.hangUp()
+	}
+	if r.conn == nil {
+		conn, err := r.dial(ctx, "tcp", address)
+		if err != nil {
+			return 0, fmt.Errorf("%w: dial relay: %w", errNotSent, err)
+		}
+		r.conn, r.to, r.reader = conn, address, bufio.NewReaderSize(conn, 1024)
+	}
+	if err := r.conn.SetDeadline(time.Now().Add(patience)); err != nil {
+		return 0, fmt.Errorf("%w: set deadline: %w", errNotSent, err)
+	}
+	if _, err := r.conn.Write(request(address, call)); err != nil { // the last byte has not left
+		return 0, fmt.Errorf("%w: write call: %w", errNotSent, err)
+	}
+	taken, err = r.answer(len(call))
+	r.used = time.Now()
+	return taken, err
+}
+
+// request lays a call out.
+func request(host string, call []op) []byte {
+	var body bytes.Buffer
+	body.WriteString(`{"ops":[`)
+	for i, o := range call {
+		if i > 0 {
+			body.WriteByte(',')
+		}
+		body.Write(o.text)
+	}
+	body.WriteString("]}")
+	head := "POST /v1/orders HTTP/1.1\r\nHost: " + host + "\r\nContent-Type: application/json\r\nContent-Length: " +
+		strconv.Itoa(body.Len()) + "\r\n\r\n"
+	return append([]byte(head), body.Bytes()...)
+}
+
+// answer reads what the relay says of a call. Whatever can't be read or can't be leaves it uncertain.
+func (r *Orders) answer(orders int) (taken int, err error) {
+	resp, err := http.ReadResponse(r.reader, nil)
+	if err != nil {
+		return 0, fmt.Errorf("%w: read answer: %w", errUncertain, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, mostBody))
+	if err != nil {
+		return 0, fmt.Errorf("%w: read answer: %w", errUncertain, err)
+	}
+	var a struct {
+		Count *int    `json:"ok_count"`
+		Error *string `json:"error"`
+	}
+	if err := json.Unmarshal(body, &a); err != nil {
+		return 0, fmt.Errorf("%w: unreadable answer: %w", errUncertain, err)
+	}
+	switch {
+	case a.Error != nil && *a.Error == "limit":
+		return 0, errLimit
+	case a.Error != nil:
+		return 0, fmt.Errorf("%w: %.80q", errRefused, *a.Error)
+	case a.Count == nil || *a.Count < 0 || *a.Count > orders:
+		return 0, fmt.Errorf("%w: no possible count in the answer", errUncertain)
+	}
+	if resp.Close {
+		r.hangUp()
+	}
+	return *a.Count, nil
+}
+
+// closed returns whether the other side has closed a connection, or sent what nobody asked for.
+func closed(conn net.Conn) bool {
+	t, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return true
+	}
+	gone := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		gone = !errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err != nil || gone
+}
