Zones' proxies are dealt to tables of a part of the endpoints where connections would not suffice

The settings tell how many connections the least endpoints take (74); 133 proxies of a zone held all of its ten. Ruled out: lost endpoints (reports name all of them), late reports (a line for each pair every 4 s).

Changed in the module: where all proxies together are more than 0.7 of an endpoint's connections, a zone's are dealt to up to eight tables, each a run of the zone's lines, all runs of the same share. A table goes out only where its differences are worth the heads of its messages. Few cold endpoints are held back by degrees of load and failures, not at once by the cube.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -51,6 +51,14 @@
 	tolerance, thrift                   = 0.12, 0.15
 )
 
+// Of the connections that the least endpoints take, the part that is used; how many tables a zone's may be dealt
+// to, and proxies to each at the least; lines that a table keeps; parts of a line that bring and keep it in a table.
+const (
+	ample, mostParts, leastUsers = 0.7, 8, 10
+	leastLines, enters, stays    = 2.5, 0.35, 0.1
+	heavy                        = 0.2 // differences that a table is sent for, where its heads take the channel a second
+)
+
 type briefing map[string]any
 
 func (t briefing) num(name string, fallback float64) float64 {
@@ -86,6 +94,7 @@
 	actors          []*inbox
 	desk            *courier
 	groups          []kindGroup
+	parts           int        // tables that a zone's proxies are dealt to, for each group
 	kinds           []briefing // what was told of each req kind
 	proxies         map[int]Joined
 	seen, usual     map[int]float64 // reqs that came by the proxies' zone, and ordinarily do, fading
@@ -113,6 +122,7 @@
 	if b.brief.num("slices", 0) == 0 { // sites with slices are not planned: stored owners stay
 		b.groupKinds()
 	}
+	b.parts = b.dealtTo()
 	b.desk = &courier{b: b, proxies: map[int]*proxy{}, out: map[int]float64{}, marks: map[int]*batch{},
 		each: map[int]float64{}, untold: map[int]bool{}}
 	b.take, b.desk.take, b.actors = b.book, b.desk.read, []*inbox{&b.inbox, &b.desk.inbox}
@@ -133,6 +143,20 @@
 	}
 }
 
+// dealtTo says how many parts a zone's proxies fall into: one, but where all of them connected to an endpoint would
+// be more than it takes.
+func (b *Brain) dealtTo() int {
+	zones, _ := b.brief["zones"].([]any)
+	proxies := b.brief.num("proxy_count", 1)
+	if proxies <= ample*b.brief.num("conns_least", math.MaxFloat64) {
+		return 1
+	}
+	return max(1, min(mostParts, int(proxies)/(leastUsers*max(1, len(zones)*len(b.groups)))))
+}
+
+// slot is a proxy's zone and part.
+func (b *Brain) slot(p Joined) int { return p.Zone*b.parts + p.Proxy%b.parts }
+
 // work is a group's part of all work: its reqs, times their response targets for want of a better guess.
 func (b *Brain) work(g int) float64 {
 	own, all := 0.0, 1e-9
@@ -275,10 +299,10 @@
 func (b *Brain) region(zone int) *region {
 	for len(b.regions) <= zone {
 		r := &region{b: b, zone: len(b.regions), offers: map[int]*offer{}, sheds: map[int]float64{},
-			latency: map[int]float64{}}
+			latency: map[int]float64{}, runs: map[int]float64{}}
 		r.take = r.read
 		b.regions, b.actors = append(b.regions, r), append(b.actors, &r.inbox)
-		for range b.groups {
+		for range len(b.groups) * b.parts {
 			b.desk.tables = append(b.desk.tables, &table{number: len(b.desk.tables), sent: map[int]float64{},
 				told: map[int]Admit{}, levels: map[int]Admit{}, want: map[int]float64{}})
 		}
@@ -461,6 +485,7 @@
 	good, bad float64         // tries with and without an answer, fading
 	failing   float64         // part of the tries that fail
 	sheds     map[int]float64 // part of the reqs to be denied, by group
+	runs      map[int]float64 // tables that an endpoint is in, by group
 	wide      []float64       // weight of the endpoints open to each group
 }
 
@@ -551,16 +576,44 @@
 		}
 		for _, l := range lines {
 			load += l.x * math.Min(1, r.offers[l.be].load)
-			weight := pick(l.x > leastPart*l.listed, l.x/unit, 0)
-			r.b.desk.post(SetLine{r.zone*groups + g, l.be, weight})
 			r.b.bes[l.be].post(SetLine{r.zone*groups + g, l.be, l.x * demand})
 		}
+		r.deal(g, lines, unit)
 		if step {
 			r.level(g, load)
 		}
 	}
 }
 
+// deal gives each of a group's tables a run of the lines, laid end to end by share, on a ring: all runs bring as
+// much, and an endpoint is in as many as the connections of all proxies leave it. Mostly that is all of them.
+func (r *region) deal(g int, lines []line, unit float64) {
+	count, ready, sum, parts := 0.0, 0.0, 1e-9, float64(r.b.parts)
+	for _, l := range lines {
+		o := r.offers[l.be]
+		ready += pick(o.Phase == Ready && o.trust > 0, 1, 0)
+		count += pick(l.x > leastPart*l.listed, 1, 0)
+		sum += pick(l.x > leastPart*l.listed, l.x, 0)
+	}
+	most := ample * r.b.brief.num("conns_least", 1e9) * ready / r.b.brief.num("proxy_count", 1)
+	want := pick(most >= count, parts, math.Min(parts, parts*math.Max(most-1, leastLines)/math.Max(count, 1)))
+	if math.Abs(want-r.runs[g]) > 0.7 || want == parts {
+		r.runs[g] = math.Max(1, math.Round(want))
+	}
+	for p := range r.b.parts {
+		t, at := r.b.desk.tables[(r.zone*r.b.parts+p)*len(r.b.groups)+g], 0.0
+		from, width := float64(p)/parts, r.runs[g]/parts
+		for _, l := range lines {
+			mass := pick(l.x > leastPart*l.listed, l.x/sum, 0)
+			over := math.Max(0, math.Min(at+mass, from+width)-math.Max(at, from)) +
+				math.Max(0, math.Min(at+mass, from+width-1)-math.Max(at, from-1))
+			in := over > pick(t.sent[l.be] > 0, stays, enters)*math.Min(mass, width)
+			r.b.desk.post(SetLine{t.number, l.be, pick(in, l.x/unit*pick(width < 1, math.Ceil(3*over/mass)/3, 1), 0)})
+			at += mass
+		}
+	}
+}
+
 type line struct {
 	be                   int
 	listed, cost, cap, x float64
@@ -587,7 +640,8 @@
 	near = math.Max(near, sum/float64(len(r.b.regions))) // the last of a zone is no giant
 	whole := load * near * math.Max(1, rush)             // the zone's, with what comes again
 	if r.b.brief.num("ejects_after", 0) > 0 && whole/chill > 0.8*r.b.brief.num("fall_multiple", 1) {
-		cold, bend = math.Max(0, math.Min(cold, math.Min(0.25-r.failing, 0.85-load))), 3
+		ease := math.Max(0, math.Min(1, math.Min(1-4*r.failing, (0.85-load)/0.2)))
+		cold, bend = math.Min(cold, ease), 3-2*ease
 	}
 	chilled, tried := 0.0, 1e-9
 	for i := range lines {
@@ -658,7 +712,10 @@
 			cut := pick(r.b.brief["admission"] == "share", math.Min(1-leastLevel, left), 0)
 			left -= cut
 			way := pick(again && r.b.kinds[k]["repeats"] == "replayable", 2, usual)
-			r.b.desk.post(Admit{r.zone*len(r.b.groups) + g, 1 << k, int(way), 1 - cut})
+			for p := range r.b.parts {
+				table := (r.zone*r.b.parts+p)*len(r.b.groups) + g
+				r.b.desk.post(Admit{table, 1 << k, int(way), 1 - cut})
+			}
 		}
 	}
 }
@@ -675,7 +732,7 @@
 type courier struct {
 	inbox
 	b                        *Brain
-	tables                   []*table // by number: the zone's times the groups, and the group's
+	tables                   []*table // by number: the slot's times the groups, and the group's
 	proxies                  map[int]*proxy
 	out                      map[int]float64 // endpoints that drain or are gone, and since when
 	waiting, sure, at        float64         // lines that may wait yet, by batches and by answers; when
@@ -779,7 +836,7 @@
 	})
 	for _, name := range names {
 		p, lines := c.proxies[name], 0
-		cost, first := c.head(), p.Zone*len(c.b.groups)
+		cost, first := c.head(), c.b.slot(p.Joined)*len(c.b.groups)
 		for g := range c.b.groups {
 			lines += len(c.tables[first+g].sent)
 			cost += float64(len(c.tables[first+g].sent) + len(c.tables[first+g].told) + 1)
@@ -810,7 +867,7 @@
 	unbound, bound, told, all := map[int]float64{}, map[int]float64{}, c.told, 0.0
 	for _, p := range c.proxies {
 		unbound[p.Zone] += pick(p.bound, 0, 1)
-		bound[p.Zone] += pick(p.bound, 1, 0)
+		bound[c.b.slot(p.Joined)] += pick(p.bound, 1, 0)
 		all += pick(p.bound, 0, 1)
 	}
 	for i, since := range c.out {
@@ -850,13 +907,21 @@
 	return 1.5 * c.b.brief.num("messages_over", 10000) / c.b.brief.num("messages_most", math.MaxFloat64)
 }
 
+// rash returns whether a line has a cold endpoint sent far more than it should: one that has started again stands
+// with its old weight, and falls over while the line waits for room.
+func (c *courier) rash(endpoint int, want, sent float64) bool {
+	e := c.b.bes[endpoint]
+	return want < sent/2 && e.Started != 0 && c.b.now-e.Started < c.b.brief.num("cold", 10000)
+}
+
 // push writes a used table's differences, the largest first, while there is room. What must go doesn't wait,
 // nor what replaces it while less than half a table stands.
 func (c *courier) push(t *table) {
-	zone := t.number / len(c.b.groups)
+	slot := t.number / len(c.b.groups)
 	users, joined := 0.0, false
 	for _, p := range c.proxies {
-		joined, users = joined || p.Zone == zone, users+pick(p.Zone == zone && p.bound, 1, 0)
+		ours := c.b.slot(p.Joined) == slot
+		joined, users = joined || ours, users+pick(ours && p.bound, 1, 0)
 	}
 	if !joined || !t.solved {
 		return
@@ -871,20 +936,26 @@
 			c.b.order(t.levels[k])
 		}
 	}
-	off := tolerance + thrift*math.Min(1, users*float64(len(t.want))/c.b.brief.num("lines_per_s", 1000))
-	gaps, kept, full := map[int]float64{}, 0.0, 0.0
+	off := tolerance + thrift*math.Min(1, users*float64(c.b.parts*len(t.want))/c.b.brief.num("lines_per_s", 1000))
+	gaps, kept, full, apart := map[int]float64{}, 0.0, 0.0, 0.0
 	for _, k := range slices.Sorted(maps.Keys(t.want)) {
 		want, sent := t.want[k], t.sent[k]
 		kept, full = kept+pick(c.gone(k), 0, sent), full+want
 		if gap := math.Abs(sent - want); gap > off*math.Max(sent, want) {
-			gaps[k] = pick(c.gone(k), math.MaxFloat64, gap)
+			gaps[k] = pick(c.gone(k), math.MaxFloat64, pick(c.rash(k, want, sent), math.MaxFloat64/2, gap))
+			apart += gaps[k]
 		}
 	}
+	if at := users * float64(c.b.parts) * head / c.b.brief.num("lines_per_s", 1000); written == 0 &&
+		apart < heavy*math.Min(1, at)*full {
+		clear(gaps) // their heads would cost more than they bring
+	}
 	order := slices.Sorted(maps.Keys(gaps))
 	sort.SliceStable(order, func(i, j int) bool { return gaps[order[i]] > gaps[order[j]] })
 	for _, k := range order {
 		fits := users == 0 || c.sure+users*(written+head+1) < c.b.brief.num("backlog", 1000)
-		if lines--; !fits || lines < 0 && !c.gone(k) && kept > full/2 {
+		must := c.gone(k) || c.rash(k, t.want[k], t.sent[k])
+		if lines--; !fits || lines < 0 && !must && kept > full/2 {
 			break // a drain that doesn't fit goes first in the next gather, within its grace
 		}
 		kept += pick(c.gone(k), 0, t.want[k]-t.sent[k])
@@ -894,7 +965,7 @@
 	maps.DeleteFunc(t.sent, func(_ int, weight float64) bool { return weight == 0 })
 	t.pushed = pick(written > 0, c.b.now, t.pushed)
 	for _, p := range c.proxies {
-		c.each[p.Proxy] += pick(written > 0 && p.Zone == zone && p.bound, written+head, 0)
+		c.each[p.Proxy] += pick(written > 0 && c.b.slot(p.Joined) == slot && p.bound, written+head, 0)
 	}
 	c.spend(pick(written > 0, users*(written+head), 0))
 }
