--- a/brain/brain.go
+++ b/brain/brain.go
@@ -56,7 +56,7 @@
 const (
 	ample, mostParts, leastUsers = 0.7, 8, 10
 	leastLines, enters, stays    = 2.5, 0.35, 0.1
-	heavy                        = 0.2 // differences that a table is sent for, where its heads take the channel a second
+	heavy                        = 0.5 // differences that a table is sent for, where its heads take the channel a second
 )
 
 type briefing map[string]any
@@ -317,6 +317,7 @@
 	listed      bool
 	load, heard float64 // of the last reports: load (below 0: none), and when
 	price       float64 // the penalty lambda
+	every       float64 // how far apart its reports are
 	speeds      histogram
 	views       map[int]*view
 	planned     map[int]float64         // reqs a second that each table shall bring
@@ -402,6 +403,9 @@
 		}
 	}
 	if ok {
+		if gap := e.b.now - e.heard; gap < staleMs {
+			e.every += (gap - e.every) / 4
+		}
 		e.load, e.heard = e.load+(load-e.load)*pick(e.load < 0 || e.b.now-e.heard > staleMs, 1, calm), e.b.now
 	}
 }
@@ -417,6 +421,11 @@
 	return pick(then > 0, 1+e.b.part()*(math.Max(0.25, math.Min(4, e.plans[0]/math.Max(then, 1e-9)))-1), 1)
 }
 
+// step is the penalty's gain: a report that is looked at several times counts once.
+func (e *endpoint) step() float64 {
+	return theta * e.b.part() * math.Min(1, gatherMs/math.Max(e.every, 1))
+}
+
 func (b *Brain) part() float64 {
 	part := math.Min(1, float64(len(b.proxies))/b.brief.num("proxy_count", 1))
 	return pick(b.brief["by_zone"] == true, 1, part)
@@ -433,7 +442,7 @@
 	o.warmth = pick(e.Started == 0, 1, math.Min(1, from+(1-from)*math.Max(0, age)))
 	if n.step {
 		load := math.Min(1.5, o.load) * pick(heard, e.hindsight(), 1)
-		e.price = math.Max(0, math.Min(priciest, e.price+theta*e.b.part()*(load*load-e.b.knee*e.b.knee)))
+		e.price = math.Max(0, math.Min(priciest, e.price+e.step()*(load*load-e.b.knee*e.b.knee)))
 		every := int(pick(seen < 8, 1, e.b.brief.num("instances", 1)))
 		if e.b.brief["probing"] == true && e.Phase == Ready && (e.b.gathers+e.Endpoint)%max(1, every) == 0 {
 			e.b.order(Probe{Endpoint: e.Endpoint})
