Tests of the platform's hard cases; indices of endpoints long gone are used again

Stand-ins on loopback play each way in which a call may end, news with gaps, watches that are reset, silent or moved, strangers, spoilt reports, wrong files, SIGHUP and SIGTERM. They found: a bind of a proxy that left while its call was under way was said again (Orders.Gone looked at the queue alone); it is dropped now.

--- /dev/null
+++ b/cmd/indigousher/platform_test.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestPlatformProcess guards the process as the platform starts it: a wrong file ends it with one line that names the
+// field; SIGHUP, also several and early, never ends it; SIGTERM does with exit code 0, also while all it talks to hangs.
+func TestPlatformProcess(t *testing.T) {
+	dir := t.TempDir()
+	binary, file := filepath.Join(dir, "indigousher"), filepath.Join(dir, "config.json")
+	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	hanging, err := net.Listen("tcp", "127.0.0.1:0") // takes connections and never answers
+	require.NoError(t, err)
+	defer hanging.Close()
+	listen := freePort(t)
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","limits":{"cores":0.5,"memory_mb":48,"sockets":256},
+"relay":{"address":%q},"settings":{"dcs":["a"],"kinds":["m"],"instances":1,"rank":0,"discovery":"pushed","profiles":[{"name":"read"}],
+"extra":{"proxy_count":9,"egress_per_s":800,"backlog":1200},"obligations":{"drain_grace":3e9,"cold":1e10}}}`, listen,
+		hanging.Addr(), hanging.Addr())
+	command := func(text string) *exec.Cmd {
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+		c := exec.Command(binary, "pilot", "--platform")
+		c.Env = append(os.Environ(), "NODE_CONFIG="+file, "NODE_NAME=n0", "NODE_LISTEN="+listen)
+		return c
+	}
+	for says, wrong := range map[string]string{
+		"seed":          strings.Replace(text, `"1f"`, `"?"`, 1),
+		"not readable":  text[:len(text)-9],
+		"relay.address": strings.Replace(text, `"relay":{"address"`, `"relay":{"at"`, 1),
+		"NODE_NAME":     strings.Replace(text, `"n0"`, `"n1"`, 1),
+	} {
+		out, err := command(wrong).CombinedOutput()
+		assert.Error(t, err, "exit code")
+		assert.Contains(t, string(out), says)
+		assert.Equal(t, 1, strings.Count(string(out), "\n"), "%s", out)
+	}
+
+	c := command(text)
+	require.NoError(t, c.Start())
+	var conn net.Conn
+	require.Eventually(t, func() bool {
+		conn, err = net.Dial("tcp", listen)
+		return err == nil
+	}, 10*time.Second, time.Millisecond)
+	defer conn.Close()
+	for range 3 {
+		require.NoError(t, c.Process.Signal(syscall.SIGHUP))
+	}
+	require.NoError(t, os.WriteFile(file, []byte("{"), 0o600))
+	require.NoError(t, c.Process.Signal(syscall.SIGHUP))
+	_, err = conn.Write([]byte("ping\r\n"))
+	require.NoError(t, err)
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	require.NoError(t, err)
+	assert.Equal(t, "pong\r\n", line)
+	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
+	ended := make(chan error, 1)
+	go func() { ended <- c.Wait() }()
+	select {
+	case err := <-ended:
+		assert.NoError(t, err)
+	case <-time.After(5 * time.Second):
+		require.NoError(t, c.Process.Kill())
+		t.Error("SIGTERM did not end it")
+	}
+}
--- a/internal/pilot/core.go
+++ b/internal/pilot/core.go
@@ -167,8 +167,9 @@
 	touched                           []*session
 	sorted                            []*session // by proxy; nil: to be made
 	begun                             bool
-	relayed                           map[int]bool  // joined proxies whose streams the relay holds
-	turn                              []brain.Order // what this turn ordered of the relay
+	relayed                           map[int]bool    // joined proxies whose streams the relay holds
+	turn                              []brain.Order   // what this turn ordered of the relay
+	retired                           map[int]float64 // endpoints no longer listed, and since when
 	Believed                          Believed
 	Heard                             int // notes handed to the module
 }
@@ -185,7 +186,7 @@
 // NewCore returns a core that has been told nothing.
 func NewCore(p Plan) *Core {
 	c := &Core{plan: p, sessions: map[int]*session{}, streams: map[Stream]*session{}, tables: map[int]*table{},
-		everywhere: map[int]brain.Admit{}, withdrawn: map[int]bool{}, slices: map[int]keyRange{}, relayed: map[int]bool{}, stamps: map[int]startStamp{},
+		everywhere: map[int]brain.Admit{}, withdrawn: map[int]bool{}, slices: map[int]keyRange{}, relayed: map[int]bool{}, retired: map[int]float64{}, stamps: map[int]startStamp{},
 		Channel: NewChannel(p.LinesPerS, p.Backlog, p.MessagesMost, p.MessagesOverMs, p.Meter)}
 	for _, z := range p.Zones {
 		c.zones.add(z)
@@ -433,7 +434,7 @@
 		if c.listed[e.Endpoint] = e; e.Phase == wire.PhaseGone {
 			delete(c.listed, e.Endpoint)
 		}
-		i := c.endpoints.add(e.Endpoint)
+		i := c.indexOf(e)
 		if was, seen := c.stamps[i]; !seen || was.stamp != e.Started {
 			told := 0.0
 			if e.Started != 0 {
@@ -445,10 +446,14 @@
 		entry := brain.Entry{Endpoint: i, Zone: zone, Machine: c.machines.add(e.Machine), Cell: e.Cell,
 			Phase: brain.Phase(e.Phase), Weight: e.Weight, Started: c.stamps[i].toldMs}
 		named[i] = true
-		c.gate.list(c.now, e.Endpoint, entry)
+		if c.plan.Relay == nil {
+			c.gate.list(c.now, e.Endpoint, entry)
+		}
 		out.Entries = append(out.Entries, entry)
 	}
-	if l.Whole {
+	if c.plan.Relay != nil {
+		c.retire()
+	} else if l.Whole {
 		c.gate.gone(c.now, named)
 	}
 	return out
@@ -690,6 +695,7 @@
 }
 
 func (c *Core) odd(what string, fields ...string) {
+	c.Believed.Odd++
 	c.plan.Meter.oddity(what)
 	c.plan.Odd(what, fields...)
 }
--- a/internal/pilot/loop.go
+++ b/internal/pilot/loop.go
@@ -54,6 +54,7 @@
 	Standing, MostStanding                             int // sums that wait in the intake
 	Refused                                            map[string]uint64
 	Listed                                             bool
+	Believed                                           Believed
 	LastTurn                                           time.Time
 }
 
@@ -154,6 +155,7 @@
 	if l.core.plan.Relay == nil {
 		l.state.Standing, l.state.MostStanding, l.state.Refused = l.core.gate.state()
 	}
+	l.state.Believed = l.core.Believed
 	l.state.LastTurn = l.clock.Now()
 	for _, in := range inputs {
 		if _, ok := in.(Listed); ok {
--- a/internal/pilot/parts.go
+++ b/internal/pilot/parts.go
@@ -31,6 +31,14 @@
 	return len(n.list) - 1
 }
 
+// release gives a name's index free; until put takes it the index still stands for the old name in orders.
+func (n *names) release(i int) { delete(n.index, n.list[i]) }
+
+// put gives a new name an index that was released.
+func (n *names) put(name string, i int) {
+	n.index[name], n.list[i] = i, name
+}
+
 func (n *names) name(i int) string {
 	if i < 0 || i >= len(n.list) {
 		return ""
--- a/internal/pilot/relayed.go
+++ b/internal/pilot/relayed.go
@@ -7,6 +7,7 @@
 
 	"indigousher/brain"
 	"indigousher/internal/translate"
+	"indigousher/internal/wire"
 )
 
 // Relay carries what one turn ordered to proxies whose streams others hold. It queues and paces by itself: the core
@@ -69,6 +70,7 @@
 			return notes
 		}
 		c.Believed.Reports++
+		c.Believed.SpanMs += in.SpanMs
 		return append(notes, brain.Met{Endpoint: endpoint, Zone: zone, Tries: in.Tries, Failed: in.Failed,
 			MeanMs: in.MeanMs, SpanMs: in.SpanMs, Load: translate.Load(in.Load)})
 	case ProxyDemand:
@@ -78,6 +80,7 @@
 			return notes
 		}
 		c.Believed.Reports++
+		c.Believed.SpanMs += in.SpanMs
 		return append(notes, brain.Demand{Proxy: in.Proxy, Kind: kind, Reqs: in.Reqs, Unanswered: in.Unanswered,
 			SpanMs: in.SpanMs})
 	}
@@ -107,20 +110,46 @@
 	return append(notes, brain.Left{Proxy: proxy})
 }
 
-// Believed counts what the core has come to hold of the platform, for the pilot's own book-keeping.
+// Believed counts what the core took in of reports, for the pilot's own book-keeping.
 type Believed struct {
-	Reports, Proxies, Listed, Endpoints int
+	Reports, Odd int
+	SpanMs       float64 // that all reports covered
+	Listed       int     // endpoints on the list as held
 }
 
-// Belief returns the counts as they stand.
-func (c *Core) Belief() Believed {
-	b := c.Believed
-	b.Proxies, b.Listed, b.Endpoints = len(c.relayed), len(c.listed), c.endpoints.len()
-	return b
+// retiredMs is how long an endpoint's index stays its own once it is off the list: longer than anything that may still
+// name it, at proxies or in the module.
+const retiredMs = 60000
+
+// indexOf returns an endpoint's index. Where others hold the streams a pilot lives for long while endpoints come under
+// ever new names: one that is new takes the index of one that is long gone, if its start differs, by which the module
+// tells that nothing of the old one counts.
+func (c *Core) indexOf(e wire.Entry) int {
+	if i, known := c.endpoints.find(e.Endpoint); known || c.plan.Relay == nil {
+		delete(c.retired, i)
+		return c.endpoints.add(e.Endpoint)
+	}
+	for _, i := range slices.Sorted(maps.Keys(c.retired)) {
+		if c.now-c.retired[i] > retiredMs && c.stamps[i].stamp != e.Started {
+			delete(c.retired, i)
+			c.endpoints.release(i)
+			c.endpoints.put(e.Endpoint, i)
+			return i
+		}
+	}
+	return c.endpoints.add(e.Endpoint)
 }
 
-// RelayedProxies returns who is joined, by number.
-func (c *Core) RelayedProxies() []int { return slices.Sorted(maps.Keys(c.relayed)) }
+// retire notes which endpoints are off the list.
+func (c *Core) retire() {
+	c.Believed.Listed = len(c.listed)
+	for name, i := range c.endpoints.index {
+		_, listed := c.listed[name]
+		if _, since := c.retired[i]; !listed && !since {
+			c.retired[i] = c.now
+		}
+	}
+}
 
 // relay collects an order for the relay, if that is where it goes.
 func (c *Core) relay(o brain.Order) bool {
--- a/internal/platform/door/door.go
+++ b/internal/platform/door/door.go
@@ -48,14 +48,16 @@
 	inbox    Inbox
 	log      *zap.Logger
 	mu       sync.Mutex
-	waiting  *list.List // of net.Conn that have not joined, oldest first
+	waiting  *list.List            // of net.Conn that have not joined, oldest first
+	joined   map[string][]net.Conn // collectors by zone, oldest first
 	said     time.Time
 	unsaid   int
 }
 
 // New returns a door for collectors of these zones; most connections may stand that have not joined.
 func New(zones []string, most int, inbox Inbox, log *zap.Logger) *Door {
-	return &Door{zones: zones, most: max(1, most), inbox: inbox, log: log, waiting: list.New()}
+	return &Door{zones: zones, most: max(1, most), inbox: inbox, log: log, waiting: list.New(),
+		joined: map[string][]net.Conn{}}
 }
 
 // Serve accepts until ctx ends; connections then end with it.
@@ -114,6 +116,28 @@
 	d.waiting.Remove(place) // does nothing where it is gone
 }
 
+// collectorsEach is how many connections of a zone's collector may stand: one that was cut off without a sign may have
+// something left to read when the next one comes, and no more than that.
+const collectorsEach = 2
+
+// replace notes a collector's connection; the oldest of its zone goes where there are too many.
+func (d *Door) replace(zone string, conn net.Conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := append(d.joined[zone], conn)
+	if len(all) > collectorsEach {
+		_ = all[0].Close()
+		all = slices.Delete(all, 0, 1)
+	}
+	d.joined[zone] = all
+}
+
+func (d *Door) forget(zone string, conn net.Conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.joined[zone] = slices.DeleteFunc(d.joined[zone], func(c net.Conn) bool { return c == conn })
+}
+
 // attend serves one connection to its end.
 func (d *Door) attend(ctx context.Context, conn net.Conn, place *list.Element) {
 	defer conn.Close()
@@ -125,6 +149,8 @@
 		return
 	}
 	d.Counters.Collectors.Add(1)
+	d.replace(zone, conn)
+	defer d.forget(zone, conn)
 	d.log.Info("collector joined", zap.String("zone", zone))
 	if err := conn.SetDeadline(time.Time{}); err != nil {
 		return
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -136,6 +136,8 @@
 	d, c, a := &x.door.Counters, &x.counters, &x.agent.Counters
 	s := x.loop.State()
 	x.log.Info("counted", zap.Int("proxies", s.Proxies), zap.Int("endpoints", s.Endpoints),
+		zap.Int("listed", s.Believed.Listed), zap.Int("reports taken", s.Believed.Reports), zap.Int("odd", s.Believed.Odd),
+		zap.Float64("report covers ms", s.Believed.SpanMs/float64(max(1, s.Believed.Reports))),
 		zap.Int64("orders", c.Made.Load()), zap.Int64("taken", c.Taken.Load()), zap.Int64("outdated", c.Outdated.Load()),
 		zap.Int64("dropped", c.Dropped.Load()), zap.Int64("uncertain", c.Uncertain.Load()),
 		zap.Int64("calls", c.Calls.Load()), zap.Int64("failed", c.Failed.Load()),
--- /dev/null
+++ b/internal/platform/relay/news_test.go
@@ -0,0 +1,155 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"indigousher/internal/pilot"
+)
+
+// inbox keeps inputs, short.
+type inbox struct {
+	mu  sync.Mutex
+	got []string
+}
+
+func (b *inbox) Post(_ context.Context, in pilot.Input) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch in := in.(type) {
+	case pilot.Relayed:
+		b.got = append(b.got, fmt.Sprint("joined ", in.Proxy))
+	case pilot.Unrelayed:
+		b.got = append(b.got, fmt.Sprint("left ", in.Proxy))
+	case pilot.RelayApplied:
+		b.got = append(b.got, fmt.Sprint("applied ", in.Proxy, " ", in.Mark))
+	}
+	return nil
+}
+
+func (b *inbox) all() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]string{}, b.got...)
+}
+
+func joined(p int, cold bool) string {
+	return fmt.Sprintf(`{"type":"joined","object":{"node":%d,"locality":"a","w":2.5,"cold":%t}}`, p, cold)
+}
+func left(p int) string { return fmt.Sprintf(`{"type":"left","object":{"node":%d}}`, p) }
+func applied(p, mark int) string {
+	return fmt.Sprintf(`{"type":"applied","object":{"node":%d,"nonce":%d,"latency":3}}`, p, mark)
+}
+
+// TestNews drives both lines by hand: "0 open", "0 quiet" (its opening is over), "0 close", "0 silent" (it ended in
+// silence), "gap" (time passes with nothing open), or a line and what it says.
+func TestNews(t *testing.T) {
+	for name, c := range map[string]struct {
+		steps []string
+		want  []string
+	}{
+		"told once": {[]string{"0 open", "1 open", "0" + joined(1, true), "1" + joined(1, true), "0" + applied(1, 7), "1" + applied(1, 7),
+			"0" + left(1), "1" + left(1)}, []string{"joined 1", "applied 1 7", "left 1"}},
+		"comes back": {[]string{"0 open", "0" + joined(1, true), "0" + left(1), "0" + joined(1, false)}, []string{"joined 1", "left 1", "joined 1"}},
+		"one line breaks": {[]string{"0 open", "1 open", "0" + joined(1, true), "0" + joined(2, true), "0 quiet", "1 quiet", "0 close",
+			"1" + left(2), "0 open", "0" + joined(1, false), "0 quiet"}, []string{"joined 1", "joined 2", "left 2"}},
+		"a gap: who is not told has left, who stands may have come back": {[]string{"0 open", "0" + joined(1, true), "0" + joined(2, true),
+			"0 quiet", "0 close", "gap", "0 open", "0" + joined(1, false), "0 quiet"},
+			[]string{"joined 1", "joined 2", "joined 1", "left 2"}},
+		"a short gap: who stands has stood": {[]string{"0 open", "0" + joined(1, true), "0" + joined(2, true), "0 quiet", "0 close",
+			"0 open", "0" + joined(1, false), "0" + joined(2, true), "0 quiet"}, []string{"joined 1", "joined 2", "joined 2"}},
+		"an opening that breaks tells nobody's end": {[]string{"0 open", "0" + joined(1, true), "0 quiet", "0 close", "gap", "0 open", "0 close",
+			"0 open", "0" + joined(1, false), "0 quiet"}, []string{"joined 1", "joined 1"}},
+		"answers of strangers": {[]string{"0 open", "0" + applied(4, 1), "0" + left(4), "0{}", `0{"type":"joined","object":{}}`}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := &inbox{}
+			n := NewNews("", b, &Counters{}, zap.NewNop())
+			for i := range n.lines {
+				n.lines[i].cut = func() {}
+			}
+			for _, s := range c.steps {
+				i := int(s[0] - '0')
+				switch {
+				case s == "gap":
+					n.covered = n.covered.Add(-time.Minute)
+				case s[1:] == " open":
+					n.opened(i)
+				case s[1:] == " quiet":
+					n.stands(context.Background(), i)
+				case s[1:] == " close":
+					n.closed(i, false)
+				default:
+					require.NoError(t, n.take(context.Background(), i, []byte(s[1:])))
+				}
+			}
+			assert.Equal(t, c.want, b.got)
+		})
+	}
+}
+
+// TestASilentLineHasTheOtherOpenAnew guards what happened after a line fell silent and before the other stood.
+func TestASilentLineHasTheOtherOpenAnew(t *testing.T) {
+	n, cut := NewNews("", &inbox{}, &Counters{}, zap.NewNop()), 0
+	n.lines[0].cut, n.lines[1].cut = func() {}, func() { cut++ }
+	n.opened(0)
+	n.stands(context.Background(), 0)
+	time.Sleep(time.Millisecond)
+	n.opened(1)
+	n.closed(0, true)
+	assert.Equal(t, 1, cut)
+}
+
+// TestNewsOnSockets has lines cut anywhere, chunk by chunk, a silent relay left for another, and nothing more written.
+func TestNewsOnSockets(t *testing.T) {
+	serve := func(text string, hold bool) string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				t.Cleanup(func() { _ = conn.Close() })
+				go func() {
+					buf := make([]byte, 4096)
+					_, _ = conn.Read(buf)
+					_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"))
+					for len(text) > 0 {
+						n := min(5, len(text))
+						_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", n, text[:n])
+						text = text[n:]
+					}
+					_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+					n, err := conn.Read(buf)
+					if n > 0 || os.IsTimeout(err) && !hold {
+						t.Error("something was written on a line of news")
+					}
+				}()
+			}
+		}()
+		return l.Addr().String()
+	}
+	b := &inbox{}
+	n := NewNews(serve(joined(1, true)+"\n"+joined(2, true)+"\n", true), b, &Counters{}, zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx, 0) }()
+	require.Eventually(t, func() bool { return len(b.all()) == 2 }, 5*time.Second, time.Millisecond)
+	n.Move(serve(joined(3, true)+"\n", true))
+	require.Eventually(t, func() bool { return len(b.all()) >= 3 }, 5*time.Second, time.Millisecond)
+	cancel()
+	assert.NoError(t, <-ended)
+	assert.Contains(t, b.all(), "joined 3")
+}
--- a/internal/platform/relay/relay.go
+++ b/internal/platform/relay/relay.go
@@ -63,6 +63,7 @@
 	mu       sync.Mutex
 	address  string
 	queue    [][]op // calls to make, oldest first
+	left     []int  // proxies that have left since the call under way was taken out
 	wake     chan struct{}
 	conn     net.Conn // of the worker
 	to       string
@@ -105,12 +106,19 @@
 func (r *Orders) Gone(proxy int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.left = append(r.left, proxy)
 	for i, call := range r.queue {
-		r.queue[i] = slices.DeleteFunc(call, func(o op) bool { return o.proxy == proxy })
-		r.Counters.Outdated.Add(int64(len(call) - len(r.queue[i])))
+		r.queue[i] = r.without(call, proxy)
 	}
 }
 
+// without drops what names one of some proxies.
+func (r *Orders) without(call []op, proxies ...int) []op {
+	kept := slices.DeleteFunc(slices.Clone(call), func(o op) bool { return slices.Contains(proxies, o.proxy) })
+	r.Counters.Outdated.Add(int64(len(call) - len(kept)))
+	return kept
+}
+
 // Move has calls go to another address.
 func (r *Orders) Move(address string) {
 	r.mu.Lock()
@@ -146,6 +154,7 @@
 func (r *Orders) next() (call []op, address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.left = r.left[:0]
 	for len(r.queue) > 0 {
 		call, r.queue = r.queue[0], r.queue[1:]
 		if len(call) > 0 {
@@ -159,7 +168,7 @@
 func (r *Orders) back(call []op, joined bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.queue = append([][]op{call}, r.queue...)
+	r.queue = append([][]op{r.without(call, r.left...)}, r.queue...)
 	if joined {
 		r.join()
 	}
--- /dev/null
+++ b/internal/platform/relay/relay_test.go
@@ -0,0 +1,237 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"indigousher/brain"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// script is a relay that answers each call as told: "ok", "halt N", "lost" (carried out, no answer), "broken" (not
+// carried out, no answer), "late" (carried out, silence), "garbage", "too many", "limit", "malformed". After the script
+// all calls are answered.
+type script struct {
+	t     *testing.T
+	l     net.Listener
+	mu    sync.Mutex
+	steps []string
+	done  []string // orders carried out, short
+	calls int
+}
+
+func newScript(t *testing.T, steps ...string) *script {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &script{t: t, l: l, steps: steps}
+	go s.accept()
+	t.Cleanup(func() { _ = l.Close() })
+	return s
+}
+
+func (s *script) accept() {
+	for {
+		conn, err := s.l.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(conn)
+	}
+}
+
+func (s *script) serve(conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil || !s.answer(conn, body) {
+			return
+		}
+	}
+}
+
+// answer takes one call and returns whether the connection stays.
+func (s *script) answer(conn net.Conn, body []byte) bool {
+	var call struct{ Ops []map[string]any }
+	if !assert.NoError(s.t, json.Unmarshal(body, &call)) {
+		return false
+	}
+	s.mu.Lock()
+	step, halt := "ok", len(call.Ops)
+	if s.calls < len(s.steps) {
+		step = s.steps[s.calls]
+	}
+	s.calls++
+	_, _ = fmt.Sscanf(step, "halt %d", &halt)
+	if step == "broken" || step == "limit" || step == "malformed" {
+		halt = 0
+	}
+	for _, o := range call.Ops[:halt] {
+		s.done = append(s.done, short(o))
+	}
+	s.mu.Unlock()
+	text := map[string]string{"lost": "", "broken": "", "garbage": "{ok", "too many": `{"ok_count":99}`,
+		"limit": `{"error":"limit"}`, "malformed": `{"error":"malformed"}`}
+	switch out, known := text[step]; {
+	case step == "late":
+		time.Sleep(2 * patience)
+		return false
+	case known && out == "":
+		return false
+	case !known:
+		out = fmt.Sprintf(`{"ok_count":%d}`, halt)
+		fallthrough
+	default:
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(out), out)
+		return err == nil
+	}
+}
+
+func short(o map[string]any) string {
+	switch o["verb"] {
+	case "SET":
+		return fmt.Sprint("SET ", o["cluster"], " ", o["endpoint"], " ", o["w"])
+	case "USE":
+		return fmt.Sprint("USE ", o["node"], " ", o["cluster"])
+	case "SYNC":
+		return fmt.Sprint("SYNC ", o["ticket"])
+	}
+	return fmt.Sprint(o["verb"], " ", o["endpoint"])
+}
+
+func (s *script) carried() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string{}, s.done...)
+}
+
+func endpoint(i int) string { return fmt.Sprint("e", i) }
+
+// start runs the way out to a scripted relay.
+func start(t *testing.T, address string) *Orders {
+	r := NewOrders(address, []string{"read", "write"}, &Counters{}, zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(ctx) }()
+	t.Cleanup(func() { cancel(); assert.NoError(t, <-ended) })
+	return r
+}
+
+// TestCalls plays each way in which a call may end. What was uncertain is said again once, in order, and nothing older
+// after anything newer.
+func TestCalls(t *testing.T) {
+	set := func(e int, w float64) brain.Order { return brain.SetLine{Table: 1, Endpoint: e, Weight: w} }
+	out := brain.Withdraw{Endpoint: 7, Out: true}
+	turn := []brain.Order{set(1, 2), brain.Bind{Table: 1, Proxy: 9, Kinds: 3}, out, brain.Mark{Number: 5}}
+	whole := []string{"SET 1 e1 2", "USE 9 1", "OUT e7", "SYNC 5"}
+	for name, c := range map[string]struct {
+		steps []string
+		want  []string
+	}{
+		"answered":               {[]string{"ok"}, whole},
+		"halted for good":        {[]string{"halt 1", "halt 0"}, []string{"SET 1 e1 2", "OUT e7", "SYNC 5"}},
+		"halted by mistake":      {[]string{"halt 1", "ok"}, whole},
+		"lost after it was done": {[]string{"lost"}, append(append([]string{}, whole...), whole...)},
+		"never done":             {[]string{"broken"}, whole},
+		"broken three times":     {[]string{"broken", "broken", "broken"}, whole},
+		"silent":                 {[]string{"late"}, append(append([]string{}, whole...), whole...)},
+		"unreadable":             {[]string{"garbage"}, append(append([]string{}, whole...), whole...)},
+		"impossible count":       {[]string{"too many"}, append(append([]string{}, whole...), whole...)},
+		"before the run":         {[]string{"limit", "limit", "ok"}, whole},
+		"malformed for once":     {[]string{"malformed", "ok"}, whole},
+		"malformed for good":     {[]string{"malformed", "malformed", "malformed"}, []string{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newScript(t, c.steps...)
+			r := start(t, s.l.Addr().String())
+			r.Carry(turn, endpoint)
+			last := []brain.Order{set(4, 1)}
+			require.Eventually(t, func() bool {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return s.calls >= max(len(c.steps), 1) && len(s.done) >= len(c.want)
+			}, 10*time.Second, time.Millisecond)
+			r.Carry(last, endpoint)
+			want := append(append([]string{}, c.want...), "SET 1 e4 1")
+			require.Eventually(t, func() bool { return len(s.carried()) >= len(want) }, 10*time.Second, time.Millisecond)
+			assert.Equal(t, want, s.carried())
+		})
+	}
+}
+
+// TestOutdated guards what waits while the relay is out of reach: a line set anew is said once, with its last weight, a
+// proxy that has left is not bound, and drains keep their place before what follows them.
+func TestOutdated(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().String()
+	require.NoError(t, l.Close())
+	r := start(t, address)
+	for w := 1; w <= 100; w++ {
+		r.Carry([]brain.Order{brain.SetLine{Table: 1, Endpoint: 1, Weight: float64(w)}, brain.Bind{Table: 1, Proxy: 3}, brain.Mark{Number: w}}, endpoint)
+	}
+	r.Carry([]brain.Order{brain.Withdraw{Endpoint: 2, Out: true}, brain.SetLine{Table: 1, Endpoint: 2, Weight: 0}}, endpoint)
+	r.Gone(3)
+	require.Eventually(t, func() bool { // a call that failed has joined all that waits
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return len(r.queue) <= 1
+	}, 10*time.Second, time.Millisecond)
+	s := newScript(t)
+	r.Move(s.l.Addr().String())
+	require.Eventually(t, func() bool { return len(s.carried()) >= 4 }, 10*time.Second, time.Millisecond)
+	got := s.carried()
+	assert.Equal(t, []string{"SET 1 e1 100", "SYNC 100", "OUT e2", "SET 1 e2 0"}, got[len(got)-4:])
+	assert.LessOrEqual(t, len(got), 4)
+	assert.Zero(t, strings.Count(strings.Join(got, " "), "USE"))
+}
+
+func TestSplit(t *testing.T) {
+	var ops []op
+	for range 3000 {
+		ops = append(ops, op{text: []byte(strings.Repeat("x", 99))})
+	}
+	n := 0
+	for _, call := range split(ops) {
+		assert.LessOrEqual(t, len(request("h", call)), 60000+200)
+		n += len(call)
+	}
+	assert.Equal(t, len(ops), n)
+	assert.Empty(t, split(nil))
+}
+
+func TestClearOutdatesItsTable(t *testing.T) {
+	var ops []op
+	for _, o := range []brain.Order{brain.SetLine{Table: 1, Weight: 1}, brain.SetLine{Table: 2, Weight: 1}, brain.ClearTable{Table: 1},
+		brain.Admit{Table: 1, Kinds: 2, Level: 0.5, Again: 1}, brain.Admit{Table: brain.EveryTable, Level: 1}} {
+		p, ok := layOut(o, endpoint, []string{"read", "write"})
+		require.True(t, ok)
+		ops = append(ops, p)
+	}
+	var texts []string
+	for _, o := range fresh(ops) {
+		texts = append(texts, string(o.text))
+	}
+	assert.Equal(t, []string{`{"verb":"SET","cluster":2,"endpoint":"e0","w":1}`, `{"verb":"DEL","cluster":1}`,
+		`{"verb":"LIMIT","cluster":1,"classes":["write"],"level":0.5,"retry":1}`, `{"verb":"LIMIT","level":1,"retry":0}`}, texts)
+}
