--- a/brain/brain.go
+++ b/brain/brain.go
@@ -51,12 +51,12 @@
 	tolerance, thrift                   = 0.12, 0.3
 )
 
-// Of the connections that the least endpoints take, the part that is used; how many tables a zone's may be dealt
-// to, and proxies to each at the least; lines that a table keeps; parts of a line that bring and keep it in a table.
+// Part of the connections that the least endpoint takes; most parts of a zone, proxies of one; least lines
+// of a table; parts of a line that bring and keep it there; gaps worth heads of a second of the channel.
 const (
 	ample, mostParts, leastUsers = 0.7, 8, 10
 	leastLines, enters, stays    = 2.5, 0.35, 0.1
-	heavy                        = 0.5 // differences that a table is sent for, where its heads take the channel a second
+	heavy                        = 0.5
 )
 
 type briefing map[string]any
@@ -143,8 +143,8 @@
 	}
 }
 
-// dealtTo says how many parts a zone's proxies fall into: one, but where all of them connected to an endpoint would
-// be more than it takes.
+// dealtTo says how many parts a zone's proxies fall into: one, but where all at an endpoint would be more
+// than it takes connections.
 func (b *Brain) dealtTo() int {
 	zones, _ := b.brief["zones"].([]any)
 	proxies := b.brief.num("proxy_count", 1)
@@ -594,8 +594,8 @@
 	}
 }
 
-// deal gives each of a group's tables a run of the lines, laid end to end by share, on a ring: all runs bring as
-// much, and an endpoint is in as many as the connections of all proxies leave it. Mostly that is all of them.
+// deal gives each of a group's tables a run of the lines, laid end to end by share, on a ring: all runs bring
+// as much, and an endpoint is in as many as its connections allow. Mostly that is all of them.
 func (r *region) deal(g int, lines []line, unit float64) {
 	count, ready, sum, parts := 0.0, 0.0, 1e-9, float64(r.b.parts)
 	for _, l := range lines {
@@ -916,8 +916,8 @@
 	return 1.5 * c.b.brief.num("messages_over", 10000) / c.b.brief.num("messages_most", math.MaxFloat64)
 }
 
-// rash returns whether a line has a cold endpoint sent far more than it should: one that has started again stands
-// with its old weight, and falls over while the line waits for room.
+// rash returns whether a line has a cold endpoint sent far more than it should: one that has started again
+// stands with its old weight, and falls over while the line waits for room.
 func (c *courier) rash(endpoint int, want, sent float64) bool {
 	e := c.b.bes[endpoint]
 	return want < sent/2 && e.Started != 0 && c.b.now-e.Started < c.b.brief.num("cold", 10000)
@@ -945,7 +945,8 @@
 			c.b.order(t.levels[k])
 		}
 	}
-	off := tolerance + thrift*math.Min(1, users*float64(c.b.parts*len(t.want))/c.b.brief.num("lines_per_s", 1000))
+	whole := users * float64(c.b.parts*len(t.want)) / c.b.brief.num("lines_per_s", 1000) // the zone's tables
+	off := tolerance + thrift*math.Min(1, whole)
 	gaps, kept, full, apart := map[int]float64{}, 0.0, 0.0, 0.0
 	for _, k := range slices.Sorted(maps.Keys(t.want)) {
 		want, sent := t.want[k], t.sent[k]
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -609,3 +609,43 @@
 		})
 	}
 }
+
+// TestRestartedEndpointIsCutAtOnce guards endpoints that start again while a pilot has far more proxies than its channel
+// serves: their lines stood with the old weight until there was room, and they fell over (wide+reset+stale, seed
+// 993204896464).
+func TestRestartedEndpointIsCutAtOnce(t *testing.T) {
+	all := []int{0, 1, 2, 3, 4, 5}
+	p := pilot(t, func(terms map[string]any, _ []Entry) {
+		terms["ejects_after"], terms["fall_multiple"], terms["backlog"] = 5.0, 2.5, 600.0
+	})
+	for i := 2; i < 80; i++ {
+		p.step(Joined{Proxy: i, Zone: 0, Rate: 1})
+	}
+	p.gather(60, func() []Note { return tries(0, 20, 0, 0.8, all...) })
+	require.Greater(t, len(p.bound), 70)
+	before := p.lines[0][0]
+	require.Positive(t, before)
+	p.step(Listing{Mode: Changes, Entries: []Entry{{Endpoint: 0, Zone: 0, Weight: 2, Started: p.now - 1000}}})
+	assert.Less(t, p.lines[0][0], before/2)
+}
+
+// TestAPenaltyStepsOnceAReport guards zones whose reports come every few gathers: each was counted at every gather, and
+// shares swung (copies of jadran-docs with 150 and 240 proxies).
+func TestAPenaltyStepsOnceAReport(t *testing.T) {
+	for name, c := range map[string]struct {
+		every int // gathers between reports
+	}{"every gather": {1}, "every fourth": {4}} {
+		t.Run(name, func(t *testing.T) {
+			p, n := pilot(t, nil), 0
+			p.gather(80, func() []Note {
+				if n++; n%c.every == 0 {
+					return tries(0, 20, 0, 0.72, 0)
+				}
+				return nil
+			})
+			e := p.b.bes[0]
+			assert.InDelta(t, float64(c.every)*gatherMs, math.Max(e.every, gatherMs), 0.3*gatherMs)
+			assert.InDelta(t, theta*p.b.part()/float64(c.every), e.step(), 0.3*theta*p.b.part()/float64(c.every))
+		})
+	}
+}
