--- a/internal/platform/relay/relay_test.go
+++ b/internal/platform/relay/relay_test.go
@@ -33,6 +33,16 @@
 	steps []string
 	done  []string // orders carried out, short
 	calls int
+	// closing has each connection closed once a call is answered; open counts those that stand.
+	closing bool
+	open    int
+}
+
+// idle returns whether no connection stands.
+func (s *script) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open == 0
 }
 
 func newScript(t *testing.T, steps ...string) *script {
@@ -55,7 +65,15 @@
 }
 
 func (s *script) serve(conn net.Conn) {
-	defer conn.Close()
+	s.mu.Lock()
+	s.open++
+	s.mu.Unlock()
+	defer func() {
+		_ = conn.Close()
+		s.mu.Lock()
+		s.open--
+		s.mu.Unlock()
+	}()
 	r := bufio.NewReader(conn)
 	for {
 		req, err := http.ReadRequest(r)
@@ -63,7 +81,7 @@
 			return
 		}
 		body, err := io.ReadAll(req.Body)
-		if err != nil || !s.answer(conn, body) {
+		if err != nil || !s.answer(conn, body) || s.closing {
 			return
 		}
 	}
@@ -235,3 +253,16 @@
 	assert.Equal(t, []string{`{"verb":"SET","cluster":2,"endpoint":"e0","w":1}`, `{"verb":"DEL","cluster":1}`,
 		`{"verb":"LIMIT","cluster":1,"classes":["write"],"level":0.5,"retry":1}`, `{"verb":"LIMIT","level":1,"retry":0}`}, texts)
 }
+
+// TestIdleConnections guards calls after the relay has closed a connection that stood idle: it is found before it is used.
+func TestIdleConnections(t *testing.T) {
+	s := newScript(t)
+	s.closing = true
+	r := start(t, s.l.Addr().String())
+	for i := 1; i <= 5; i++ {
+		r.Carry([]brain.Order{brain.SetLine{Table: i, Weight: 1}}, endpoint)
+		require.Eventually(t, func() bool { return len(s.carried()) == i && s.idle() }, 5*time.Second, time.Millisecond)
+	}
+	assert.Zero(t, r.Counters.Failed.Load())
+	assert.EqualValues(t, 5, r.Counters.Taken.Load())
+}
