One type for names, one way to pause, one reader of bounded files, one place for table numbers

Mended: translate.Names takes the place of pilot's own names; pause.For that of five copies of one wait; config reads by terms.ReadFile; a table's number is worked out in Brain.table, what a line uses once in deal, and push asks once what is rash; the door writes its words in one way; fields that nothing set otherwise are gone; the agent's count of odd entries is printed.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -157,6 +157,9 @@
 // slot is a proxy's zone and part.
 func (b *Brain) slot(p Joined) int { return p.Zone*b.parts + p.Proxy%b.parts }
 
+// table is the number of a slot's table for a group.
+func (b *Brain) table(slot, g int) int { return slot*len(b.groups) + g }
+
 // work is a group's part of all work: its reqs, times their response targets for want of a better guess.
 func (b *Brain) work(g int) float64 {
 	own, all := 0.0, 1e-9
@@ -598,11 +601,12 @@
 // as much, and an endpoint is in as many as its connections allow. Mostly that is all of them.
 func (r *region) deal(g int, lines []line, unit float64) {
 	count, ready, sum, parts := 0.0, 0.0, 1e-9, float64(r.b.parts)
-	for _, l := range lines {
+	used := make([]float64, len(lines))
+	for i, l := range lines {
 		o := r.offers[l.be]
+		used[i] = pick(l.x > leastPart*l.listed, l.x, 0)
 		ready += pick(o.Phase == Ready && o.trust > 0, 1, 0)
-		count += pick(l.x > leastPart*l.listed, 1, 0)
-		sum += pick(l.x > leastPart*l.listed, l.x, 0)
+		count, sum = count+pick(used[i] > 0, 1, 0), sum+used[i]
 	}
 	most := ample * r.b.brief.num("conns_least", 1e9) * ready / r.b.brief.num("proxy_count", 1)
 	want := pick(most >= count, parts, math.Min(parts, parts*math.Max(most-1, leastLines)/math.Max(count, 1)))
@@ -610,10 +614,10 @@
 		r.runs[g] = math.Max(1, math.Round(want))
 	}
 	for p := range r.b.parts {
-		t, at := r.b.desk.tables[(r.zone*r.b.parts+p)*len(r.b.groups)+g], 0.0
+		t, at := r.b.desk.tables[r.b.table(r.zone*r.b.parts+p, g)], 0.0
 		from, width := float64(p)/parts, r.runs[g]/parts
-		for _, l := range lines {
-			mass := pick(l.x > leastPart*l.listed, l.x/sum, 0)
+		for i, l := range lines {
+			mass := used[i] / sum
 			over := math.Max(0, math.Min(at+mass, from+width)-math.Max(at, from)) +
 				math.Max(0, math.Min(at+mass, from+width-1)-math.Max(at, from-1))
 			in := over > pick(t.sent[l.be] > 0, stays, enters)*math.Min(mass, width)
@@ -722,8 +726,7 @@
 			left -= cut
 			way := pick(again && r.b.kinds[k]["repeats"] == "replayable", 2, usual)
 			for p := range r.b.parts {
-				table := (r.zone*r.b.parts+p)*len(r.b.groups) + g
-				r.b.desk.post(Admit{table, 1 << k, int(way), 1 - cut})
+				r.b.desk.post(Admit{r.b.table(r.zone*r.b.parts+p, g), 1 << k, int(way), 1 - cut})
 			}
 		}
 	}
@@ -845,7 +848,7 @@
 	})
 	for _, name := range names {
 		p, lines := c.proxies[name], 0
-		cost, first := c.head(), c.b.slot(p.Joined)*len(c.b.groups)
+		cost, first := c.head(), c.b.table(c.b.slot(p.Joined), 0)
 		for g := range c.b.groups {
 			lines += len(c.tables[first+g].sent)
 			cost += float64(len(c.tables[first+g].sent) + len(c.tables[first+g].told) + 1)
@@ -964,7 +967,7 @@
 	sort.SliceStable(order, func(i, j int) bool { return gaps[order[i]] > gaps[order[j]] })
 	for _, k := range order {
 		fits := users == 0 || c.sure+users*(written+head+1) < c.b.brief.num("backlog", 1000)
-		must := c.gone(k) || c.rash(k, t.want[k], t.sent[k])
+		must := gaps[k] >= math.MaxFloat64/2 // it is gone, or rash
 		if lines--; !fits || lines < 0 && !must && kept > full/2 {
 			break // a drain that doesn't fit goes first in the next gather, within its grace
 		}
--- a/internal/edge/framed/framed.go
+++ b/internal/edge/framed/framed.go
@@ -18,6 +18,7 @@
 
 	"indigousher/internal/edge/ending"
 	"indigousher/internal/keys"
+	"indigousher/internal/pause"
 	"indigousher/internal/pilot"
 	"indigousher/internal/wire"
 )
@@ -76,7 +77,7 @@
 			}
 			if isPassing(err) { // no free descriptor: those that are served go on
 				s.log.Warn("accept", zap.Error(err))
-				pause(ctx, 100*time.Millisecond)
+				pause.For(ctx, 100*time.Millisecond)
 				continue
 			}
 			return fmt.Errorf("accept on %s: %w", l.Addr(), err)
@@ -96,15 +97,6 @@
 	return errors.As(err, &ne) && !errors.Is(err, net.ErrClosed)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // Kill closes every stream at once and without a word, as the end of a process would.
 func (s *Server) Kill() {
 	s.mu.Lock()
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"indigousher/internal/pause"
 	"indigousher/recovery"
 )
 
@@ -215,7 +216,7 @@
 			claim, err := GetClaim(o.path)
 			if e = recovery.Claimed; err != nil {
 				e = recovery.Refused
-				pause(ctx, claimEvery)
+				pause.For(ctx, claimEvery)
 				continue
 			}
 			m.Next(e)
@@ -227,15 +228,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // ask says one step, with the listeners if it is the offer, and waits for the answer.
 func (o *Offer) ask(c *net.UnixConn, say, want string, came recovery.Event) recovery.Event {
 	m := message{Step: say}
--- /dev/null
+++ b/internal/pause/pause.go
@@ -0,0 +1,20 @@
+// Package pause waits for a span or the end of a context, whichever comes first. Edges that try again use it; it keeps
+// no clock of the pilot's and decides nothing.
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// For waits and returns whether the whole span has passed.
+func For(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/pilot/core.go
+++ b/internal/pilot/core.go
@@ -11,6 +11,7 @@
 
 	"indigousher/brain"
 	"indigousher/intake"
+	"indigousher/internal/translate"
 	"indigousher/internal/wire"
 )
 
@@ -146,8 +147,8 @@
 // Core holds what the orders so far amount to. It is used by one goroutine.
 type Core struct {
 	plan                              Plan
-	endpoints, zones, machines, kinds names
-	proxies                           names
+	endpoints, zones, machines, kinds translate.Names
+	proxies                           translate.Names
 	sessions                          map[int]*session
 	streams                           map[Stream]*session
 	tables                            map[int]*table
@@ -189,13 +190,13 @@
 		everywhere: map[int]brain.Admit{}, withdrawn: map[int]bool{}, slices: map[int]keyRange{}, relayed: map[int]bool{}, retired: map[int]float64{}, stamps: map[int]startStamp{},
 		Channel: NewChannel(p.LinesPerS, p.Backlog, p.MessagesMost, p.MessagesOverMs, p.Meter)}
 	for _, z := range p.Zones {
-		c.zones.add(z)
+		c.zones.In(z)
 	}
 	for _, m := range p.Machines {
-		c.machines.add(m)
+		c.machines.In(m)
 	}
 	for _, k := range p.Kinds {
-		c.kinds.add(k)
+		c.kinds.In(k)
 	}
 	c.gate, c.listed = newGate(p.Intake, p.Kinds), map[string]wire.Entry{}
 	return c
@@ -220,12 +221,12 @@
 		notes = append(notes, brain.Alarm{Name: name})
 	}
 	before := len(notes)
-	if c.plan.Relay != nil {
-		c.told = nil
-	} else if c.plan.Replayed {
+	switch {
+	case c.plan.Relay != nil: // reports came as inputs
+	case c.plan.Replayed:
 		notes = append(notes, c.told...)
 		c.told = nil
-	} else {
+	default:
 		notes = c.tell(notes)
 	}
 	var orders []brain.Order
@@ -311,7 +312,7 @@
 	case ListLost:
 		return append(notes, brain.Listing{Mode: brain.ListFailed})
 	case Probed:
-		if i, known := c.endpoints.find(in.Endpoint); known {
+		if i, known := c.endpoints.Find(in.Endpoint); known {
 			return append(notes, brain.Probed{Endpoint: i, OK: in.Outcome == "ok", Outcome: in.Outcome,
 				TookMs: in.TookMs, Load: load(in.Load, func(f wire.Figure) { c.odd(oddFigure, f.Name, fmt.Sprint(f.Value)) })})
 		}
@@ -347,7 +348,7 @@
 
 // join takes in a stream. One under the same name is ended first: the newer one is the one that lives.
 func (c *Core) join(notes []brain.Note, in Join) []brain.Note {
-	zone, known := c.zones.find(in.Hello.Zone)
+	zone, known := c.zones.Find(in.Hello.Zone)
 	if !known {
 		c.odd("proxy of an unknown zone", in.Hello.Proxy, in.Hello.Zone)
 		in.Stream.Close("unknown zone")
@@ -358,14 +359,14 @@
 		in.Stream.Close("rate out of range")
 		return notes
 	}
-	proxy, known := c.proxies.find(in.Hello.Proxy)
+	proxy, known := c.proxies.Find(in.Hello.Proxy)
 	if !known {
-		if c.proxies.len() >= c.plan.MostProxies {
+		if c.proxies.Len() >= c.plan.MostProxies {
 			c.odd("too many proxies", in.Hello.Proxy)
 			in.Stream.Close("too many proxies")
 			return notes
 		}
-		proxy = c.proxies.add(in.Hello.Proxy)
+		proxy = c.proxies.In(in.Hello.Proxy)
 	}
 	if old := c.sessions[proxy]; old != nil {
 		notes = append(notes, c.drop(old))
@@ -374,7 +375,7 @@
 	s := &session{hello: in.Hello, proxy: proxy, zone: zone, stream: in.Stream, bound: map[int]int{}, holds: map[int]bool{},
 		tables: map[int]map[string]float64{}}
 	for _, name := range in.Hello.Holds {
-		if i, known := c.endpoints.find(name); known {
+		if i, known := c.endpoints.Find(name); known {
 			s.holds[i] = true
 		}
 	}
@@ -422,7 +423,7 @@
 		c.listed = map[string]wire.Entry{}
 	}
 	for _, e := range l.Entries {
-		zone, known := c.zones.find(e.Zone)
+		zone, known := c.zones.Find(e.Zone)
 		if !known {
 			c.odd("endpoint of an unknown zone", e.Endpoint, e.Zone)
 			continue
@@ -443,7 +444,7 @@
 			}
 			c.stamps[i] = startStamp{e.Started, told}
 		}
-		entry := brain.Entry{Endpoint: i, Zone: zone, Machine: c.machines.add(e.Machine), Cell: e.Cell,
+		entry := brain.Entry{Endpoint: i, Zone: zone, Machine: c.machines.In(e.Machine), Cell: e.Cell,
 			Phase: brain.Phase(e.Phase), Weight: e.Weight, Started: c.stamps[i].toldMs}
 		named[i] = true
 		if c.plan.Relay == nil {
@@ -474,7 +475,7 @@
 	}
 	notes = append(notes, brain.SliceCharge{Slice: x.Slice, Given: x.Given})
 	for _, l := range x.Lines {
-		if i, known := c.endpoints.find(l.Endpoint); known && x.Given && brain.SoundWeight(l.Weight) {
+		if i, known := c.endpoints.Find(l.Endpoint); known && x.Given && brain.SoundWeight(l.Weight) {
 			notes = append(notes, brain.SliceLine{Slice: x.Slice, Endpoint: i, Weight: l.Weight})
 			c.table(x.Slice).lines[i] = l.Weight
 		} else {
@@ -524,7 +525,7 @@
 			}
 		}
 	case brain.Probe:
-		c.plan.Prober.Probe(c.endpoints.name(o.Endpoint))
+		c.plan.Prober.Probe(c.endpoints.Name(o.Endpoint))
 	case brain.Tell:
 		c.plan.Peers.Tell(o.Peer, o.Text)
 	case brain.WakeAt:
@@ -549,7 +550,7 @@
 
 // setLine changes a line at all users of its table. An endpoint shut out stays so where it was not held before.
 func (c *Core) setLine(o brain.SetLine) {
-	t, name := c.table(o.Table), c.endpoints.name(o.Endpoint)
+	t, name := c.table(o.Table), c.endpoints.Name(o.Endpoint)
 	c.toUsers(o.Table, wire.Op{Kind: wire.OpSet, Table: o.Table, Endpoint: name, Weight: o.Weight})
 	if o.Weight == 0 {
 		delete(t.lines, o.Endpoint)
@@ -565,12 +566,12 @@
 func (c *Core) bind(o brain.Bind) {
 	s := c.sessions[o.Proxy]
 	if s == nil {
-		c.odd("bind of a proxy that has left", c.proxies.name(o.Proxy))
+		c.odd("bind of a proxy that has left", c.proxies.Name(o.Proxy))
 		return
 	}
 	kinds := o.Kinds
 	if kinds == 0 {
-		kinds = 1<<c.kinds.len() - 1
+		kinds = 1<<c.kinds.Len() - 1
 	}
 	for number, held := range s.bound {
 		if s.bound[number] = held &^ kinds; s.bound[number] == 0 {
@@ -589,13 +590,13 @@
 func (c *Core) layTable(s *session, number int, has map[string]float64, keep bool) {
 	t := c.table(number)
 	for _, i := range slices.Sorted(maps.Keys(t.lines)) {
-		name := c.endpoints.name(i)
+		name := c.endpoints.Name(i)
 		if !keep || has[name] != t.lines[i] {
 			c.write(s, wire.Op{Kind: wire.OpSet, Table: number, Endpoint: name, Weight: t.lines[i]})
 		}
 		delete(has, name)
 		if c.withdrawn[i] {
-			c.write(s, wire.Op{Kind: wire.OpWithdraw, Endpoint: c.endpoints.name(i), Out: true})
+			c.write(s, wire.Op{Kind: wire.OpWithdraw, Endpoint: c.endpoints.Name(i), Out: true})
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(has)) { // what it has beyond that
@@ -613,7 +614,7 @@
 	if c.withdrawn[o.Endpoint] = o.Out; !o.Out {
 		delete(c.withdrawn, o.Endpoint)
 	}
-	op := wire.Op{Kind: wire.OpWithdraw, Endpoint: c.endpoints.name(o.Endpoint), Out: o.Out}
+	op := wire.Op{Kind: wire.OpWithdraw, Endpoint: c.endpoints.Name(o.Endpoint), Out: o.Out}
 	for _, s := range c.inOrder() {
 		if c.holds(s, o.Endpoint) {
 			c.write(s, op)
@@ -622,7 +623,7 @@
 }
 
 func (c *Core) holds(s *session, endpoint int) bool {
-	if s.covered != 1<<c.kinds.len()-1 && s.holds[endpoint] {
+	if s.covered != 1<<c.kinds.Len()-1 && s.holds[endpoint] {
 		return true
 	}
 	for number := range s.bound {
@@ -711,12 +712,12 @@
 				return false
 			}
 		}
-		return within(n.Endpoint, c.endpoints.len()) && within(n.Zone, c.zones.len()) && n.Failed >= 0 && n.Tries >= n.Failed &&
+		return within(n.Endpoint, c.endpoints.Len()) && within(n.Zone, c.zones.Len()) && n.Failed >= 0 && n.Tries >= n.Failed &&
 			brain.Sound(n.MeanMs) && brain.Sound(n.SpanMs)
 	case brain.Demand:
-		return within(n.Proxy, c.proxies.len()) && within(n.Kind, c.kinds.len()) && n.Reqs >= 0 && brain.Sound(n.SpanMs)
+		return within(n.Proxy, c.proxies.Len()) && within(n.Kind, c.kinds.Len()) && n.Reqs >= 0 && brain.Sound(n.SpanMs)
 	case brain.SliceDemand:
-		return within(n.Kind, c.kinds.len()) && n.Reqs >= 0 && brain.Sound(n.SpanMs)
+		return within(n.Kind, c.kinds.Len()) && n.Reqs >= 0 && brain.Sound(n.SpanMs)
 	}
 	return false
 }
@@ -741,4 +742,4 @@
 func (c *Core) Report(nowMs float64, s Stream, sums *wire.Sums) { c.gate.take(nowMs, s, sums) }
 
 // EndpointName returns the name behind an index of the module's.
-func (c *Core) EndpointName(i int) string { return c.endpoints.name(i) }
+func (c *Core) EndpointName(i int) string { return c.endpoints.Name(i) }
--- a/internal/pilot/loop.go
+++ b/internal/pilot/loop.go
@@ -150,7 +150,7 @@
 	c := l.core.Channel
 	l.mu.Lock()
 	l.state.Turns++
-	l.state.Proxies, l.state.Endpoints = len(l.core.sessions)+len(l.core.relayed), l.core.endpoints.len()
+	l.state.Proxies, l.state.Endpoints = len(l.core.sessions)+len(l.core.relayed), l.core.endpoints.Len()
 	l.state.Lines, l.state.MostLines, l.state.MostMessages = c.lines, c.MostSeen, c.Crowded
 	if l.core.plan.Relay == nil {
 		l.state.Standing, l.state.MostStanding, l.state.Refused = l.core.gate.state()
--- a/internal/pilot/parts.go
+++ b/internal/pilot/parts.go
@@ -6,46 +6,6 @@
 	"sort"
 )
 
-// names maps one sort of name to small indices in order of appearance.
-type names struct {
-	index map[string]int
-	list  []string
-}
-
-func (n *names) len() int { return len(n.list) }
-
-func (n *names) find(name string) (int, bool) {
-	i, known := n.index[name]
-	return i, known
-}
-
-func (n *names) add(name string) int {
-	if i, known := n.index[name]; known {
-		return i
-	}
-	if n.index == nil {
-		n.index = map[string]int{}
-	}
-	n.index[name] = len(n.list)
-	n.list = append(n.list, name)
-	return len(n.list) - 1
-}
-
-// release gives a name's index free; until put takes it the index still stands for the old name in orders.
-func (n *names) release(i int) { delete(n.index, n.list[i]) }
-
-// put gives a new name an index that was released.
-func (n *names) put(name string, i int) {
-	n.index[name], n.list[i] = i, name
-}
-
-func (n *names) name(i int) string {
-	if i < 0 || i >= len(n.list) {
-		return ""
-	}
-	return n.list[i]
-}
-
 // alarm is a WakeAt that has not fallen due; number keeps those of one time in order.
 type alarm struct {
 	atMs   float64
--- a/internal/pilot/relayed.go
+++ b/internal/pilot/relayed.go
@@ -63,8 +63,8 @@
 			return append(notes, brain.Applied{Proxy: in.Proxy, Number: in.Mark, TookMs: in.TookMs})
 		}
 	case ZoneMet:
-		zone, known := c.zones.find(in.Zone)
-		endpoint, listed := c.endpoints.find(in.Endpoint)
+		zone, known := c.zones.Find(in.Zone)
+		endpoint, listed := c.endpoints.Find(in.Endpoint)
 		if !known || !listed {
 			c.odd("report of an unknown zone or endpoint")
 			return notes
@@ -74,7 +74,7 @@
 		return append(notes, brain.Met{Endpoint: endpoint, Zone: zone, Tries: in.Tries, Failed: in.Failed,
 			MeanMs: in.MeanMs, SpanMs: in.SpanMs, Load: translate.Load(in.Load)})
 	case ProxyDemand:
-		kind, known := c.kinds.find(in.Kind)
+		kind, known := c.kinds.Find(in.Kind)
 		if !known || !c.provides(in.Proxy) {
 			c.odd("demand of an unknown req kind or proxy")
 			return notes
@@ -91,7 +91,7 @@
 func (c *Core) provides(proxy int) bool { return proxy >= 0 && proxy < c.plan.MostProxies }
 
 func (c *Core) relayedJoin(notes []brain.Note, in Relayed) []brain.Note {
-	zone, known := c.zones.find(in.Zone)
+	zone, known := c.zones.Find(in.Zone)
 	if !known || !c.provides(in.Proxy) || !brain.Sound(in.Rate) {
 		c.odd("proxy of an unknown number or zone", fmt.Sprint(in.Proxy), in.Zone)
 		return notes
@@ -125,25 +125,24 @@
 // ever new names: one that is new takes the index of one that is long gone, if its start differs, by which the module
 // tells that nothing of the old one counts.
 func (c *Core) indexOf(e wire.Entry) int {
-	if i, known := c.endpoints.find(e.Endpoint); known || c.plan.Relay == nil {
+	if i, known := c.endpoints.Find(e.Endpoint); known {
 		delete(c.retired, i)
-		return c.endpoints.add(e.Endpoint)
+		return i
 	}
 	for _, i := range slices.Sorted(maps.Keys(c.retired)) {
 		if c.now-c.retired[i] > retiredMs && c.stamps[i].stamp != e.Started {
 			delete(c.retired, i)
-			c.endpoints.release(i)
-			c.endpoints.put(e.Endpoint, i)
+			c.endpoints.Rename(i, e.Endpoint)
 			return i
 		}
 	}
-	return c.endpoints.add(e.Endpoint)
+	return c.endpoints.In(e.Endpoint)
 }
 
 // retire notes which endpoints are off the list.
 func (c *Core) retire() {
 	c.Believed.Listed = len(c.listed)
-	for name, i := range c.endpoints.index {
+	for i, name := range c.endpoints.All() {
 		_, listed := c.listed[name]
 		if _, since := c.retired[i]; !listed && !since {
 			c.retired[i] = c.now
@@ -173,7 +172,7 @@
 // handOver gives the relay what the turn ordered.
 func (c *Core) handOver() {
 	if len(c.turn) > 0 {
-		c.plan.Relay.Carry(c.turn, c.endpoints.name)
+		c.plan.Relay.Carry(c.turn, c.endpoints.Name)
 		clear(c.turn)
 		c.turn = c.turn[:0]
 	}
--- a/internal/pilot/relayed_test.go
+++ b/internal/pilot/relayed_test.go
@@ -54,12 +54,13 @@
 			c.Handle(float64(5000*g+1000*s), []Input{ZoneMet{Zone: "a", Endpoint: last, Tries: 9, SpanMs: 1000}})
 		}
 		if g == 100 {
-			most = c.endpoints.len()
+			most = c.endpoints.Len()
 		}
 	}
-	assert.LessOrEqual(t, c.endpoints.len(), most, "indices of those long gone are used again")
+	assert.LessOrEqual(t, c.endpoints.Len(), most, "indices of those long gone are used again")
 	assert.Less(t, most, 100)
-	assert.LessOrEqual(t, len(c.endpoints.index), most)
+	_, known := c.endpoints.Find("e1-0")
+	assert.False(t, known, "the name of one long gone is forgotten")
 	assert.LessOrEqual(t, len(c.retired), most)
 	assert.True(t, k.names[last], "a new endpoint under a used index is planned by its own name")
 	assert.Zero(t, c.Believed.Odd)
@@ -92,7 +93,7 @@
 			d.notes = nil
 			core.Handle(1, c.in)
 			assert.Equal(t, c.want, d.notes)
-			assert.Equal(t, 1, core.endpoints.len())
+			assert.Equal(t, 1, core.endpoints.Len())
 		})
 	}
 }
--- a/internal/platform/agent/agent.go
+++ b/internal/platform/agent/agent.go
@@ -18,6 +18,7 @@
 
 	"go.uber.org/zap"
 
+	"indigousher/internal/pause"
 	"indigousher/internal/pilot"
 	"indigousher/internal/wire"
 )
@@ -28,7 +29,7 @@
 	wait        = 1000 * time.Millisecond
 	patience    = 400 * time.Millisecond // for the answer, beyond the wait
 	dialWithin  = 500 * time.Millisecond
-	pause       = 50 * time.Millisecond // after a failed call
+	failedPause = 50 * time.Millisecond // after a failed call
 	mostBytes   = 8 << 20
 	mostEntries = 65536
 )
@@ -105,7 +106,6 @@
 	Counters Counters
 	inbox    Inbox
 	log      *zap.Logger
-	dial     func(ctx context.Context, network, address string) (net.Conn, error)
 	mu       sync.Mutex
 	address  string
 	changed  context.CancelFunc // ends the call under way
@@ -118,9 +118,7 @@
 
 // New returns an agent that does nothing before Run. With watch it follows the list unasked.
 func New(address string, watch bool, inbox Inbox, log *zap.Logger) *Agent {
-	d := net.Dialer{Timeout: dialWithin}
-	return &Agent{address: address, watching: watch, inbox: inbox, log: log, dial: d.DialContext,
-		wake: make(chan struct{}, 1)}
+	return &Agent{address: address, watching: watch, inbox: inbox, log: log, wake: make(chan struct{}, 1)}
 }
 
 // Watch begins or ends following the list.
@@ -182,24 +180,15 @@
 		if err != nil && !moved {
 			a.Counters.Failed.Add(1)
 			a.log.Debug("discovery", zap.String("address", address), zap.Error(err))
-			sleep(ctx, pause)
+			pause.For(ctx, failedPause)
 		}
 	}
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // connected makes calls on one connection until it fails or nothing is wanted.
 func (a *Agent) connected(ctx context.Context, address string) error {
-	conn, err := a.dial(ctx, "tcp", address)
+	conn, err := (&net.Dialer{Timeout: dialWithin}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return fmt.Errorf("dial discovery: %w", err)
 	}
--- a/internal/platform/config/config.go
+++ b/internal/platform/config/config.go
@@ -6,15 +6,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"net"
-	"os"
 	"reflect"
 	"strconv"
 
 	"indigousher/brain"
 	"indigousher/internal/platform/agent"
+	"indigousher/internal/terms"
 	"indigousher/internal/translate"
 	"indigousher/internal/wire"
 )
@@ -75,15 +74,10 @@
 
 // ReadFile reads and checks a file.
 func ReadFile(path string) (*Placement, error) {
-	f, err := os.Open(path)
+	text, err := terms.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("read NODE_CONFIG: %w", err)
 	}
-	defer f.Close()
-	text, err := io.ReadAll(io.LimitReader(f, mostBytes+1))
-	if err != nil {
-		return nil, fmt.Errorf("read %s: %w", path, err)
-	}
 	p, err := Parse(text)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
--- a/internal/platform/door/door.go
+++ b/internal/platform/door/door.go
@@ -213,8 +213,7 @@
 		d.said, d.unsaid = time.Now(), 0
 	}
 	d.mu.Unlock()
-	_ = conn.SetWriteDeadline(time.Now().Add(writeIn))
-	if _, err := conn.Write([]byte("refused\r\n")); err != nil {
+	if err := say(conn, "refused"); err != nil {
 		return err
 	}
 	if t, ok := conn.(*net.TCPConn); ok { // what it still sends would reset the word before it is read
@@ -230,6 +229,15 @@
 	return ErrLine
 }
 
+// say writes a word that a peer is owed, but waits for no one.
+func say(conn net.Conn, word string) error {
+	if err := conn.SetWriteDeadline(time.Now().Add(writeIn)); err != nil {
+		return err
+	}
+	_, err := conn.Write([]byte(word + "\r\n"))
+	return err
+}
+
 // collect reads a collector's lines. A spoilt one costs itself alone; a connection that goes on unreadable is of no
 // further use.
 func (d *Door) collect(ctx context.Context, conn net.Conn, rest []byte) error {
@@ -241,10 +249,7 @@
 			return err
 		}
 		if string(line) == "ping" {
-			if err := conn.SetWriteDeadline(time.Now().Add(writeIn)); err != nil {
-				return err
-			}
-			if _, err := conn.Write([]byte("pong\r\n")); err != nil {
+			if err := say(conn, "pong"); err != nil {
 				return err
 			}
 			continue
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -36,7 +36,6 @@
 	log       *zap.Logger
 	placement *config.Placement
 	loop      *pilot.Loop
-	core      *pilot.Core
 	door      *door.Door
 	orders    *relay.Orders
 	news      *relay.News
@@ -61,13 +60,13 @@
 	x.news = relay.NewNews(p.Relay.Address, box, &x.counters, log)
 	spare := float64(p.Limits.Sockets - ownSockets)
 	x.door = door.New(p.Deployment.Zones.All(), int(spare*strangers), box, log)
-	x.core = pilot.NewCore(pilot.Plan{Decider: brain.New(p.Seed, p.Deployment.Terms), Terms: p.Deployment.Terms,
+	core := pilot.NewCore(pilot.Plan{Decider: brain.New(p.Seed, p.Deployment.Terms), Terms: p.Deployment.Terms,
 		Zones: p.Deployment.Zones.All(), Machines: p.Deployment.Machines.All(), Kinds: kinds, MostProxies: p.Proxies,
 		List: x.agent, Prober: probe.Never{}, Peers: peers.Nobody{}, Relay: x.orders,
 		Log: func(text string) { log.Info(text) }, Odd: func(what string, fields ...string) {
 			log.Debug("odd", zap.String("what", what), zap.Strings("fields", fields))
 		}})
-	x.loop = pilot.NewLoop(x.core, pilot.RealClock{}, log)
+	x.loop = pilot.NewLoop(core, pilot.RealClock{}, log)
 	box.loop = x.loop
 	return x
 }
@@ -145,5 +144,6 @@
 		zap.Int64("reports", d.Reports.Load()), zap.Int64("spoilt", d.Spoilt.Load()),
 		zap.Int64("accepted", d.Accepted.Load()), zap.Int64("refused", d.Refused.Load()),
 		zap.Int64("silent", d.Silent.Load()), zap.Int64("evicted", d.Evicted.Load()),
-		zap.Int64("list calls", a.Calls.Load()), zap.Int64("failed calls", a.Failed.Load()), zap.Int64("lists", a.Lists.Load()))
+		zap.Int64("list calls", a.Calls.Load()), zap.Int64("failed calls", a.Failed.Load()), zap.Int64("lists", a.Lists.Load()),
+		zap.Int64("odd entries", a.Odd.Load()))
 }
--- a/internal/platform/relay/news.go
+++ b/internal/platform/relay/news.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -15,6 +14,7 @@
 
 	"go.uber.org/zap"
 
+	"indigousher/internal/pause"
 	"indigousher/internal/pilot"
 )
 
@@ -75,7 +75,6 @@
 	Counters *Counters
 	inbox    Inbox
 	log      *zap.Logger
-	dial     dialer
 	mu       sync.Mutex
 	address  string
 	members  map[int]*member
@@ -85,8 +84,7 @@
 
 // NewNews returns a reader of a relay's news.
 func NewNews(address string, inbox Inbox, c *Counters, log *zap.Logger) *News {
-	d := net.Dialer{Timeout: dialWithin}
-	return &News{Counters: c, inbox: inbox, log: log, dial: d.DialContext, address: address, members: map[int]*member{}}
+	return &News{Counters: c, inbox: inbox, log: log, address: address, members: map[int]*member{}}
 }
 
 // Move has the lines go to another address, one after another: the second leaves when the first stands there.
@@ -115,7 +113,7 @@
 		n.closed(i, errors.Is(err, os.ErrDeadlineExceeded))
 		if ctx.Err() == nil {
 			n.log.Debug("news line ended", zap.Int("line", i), zap.Error(err))
-			sleep(ctx, redial)
+			pause.For(ctx, redial)
 		}
 	}
 	return nil
@@ -123,7 +121,7 @@
 
 // read opens a line and reads it to its end.
 func (n *News) read(ctx context.Context, address string, i int) error {
-	conn, err := n.dial(ctx, "tcp", address)
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return fmt.Errorf("dial relay: %w", err)
 	}
@@ -168,7 +166,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now, l := time.Now(), &n.lines[i]
-	l.open, l.opened, l.heard, l.standing, l.gap, l.long = true, now, now, map[int]bool{}, true, true
+	l.open, l.opened, l.heard, l.standing, l.gap, l.long = true, now, now, map[int]bool{}, true, false
 	for j := range n.lines {
 		if o := &n.lines[j]; j != i && o.open && now.Sub(o.heard) < freshFor {
 			l.gap = false
--- a/internal/platform/relay/op.go
+++ b/internal/platform/relay/op.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 
 	"indigousher/brain"
@@ -95,8 +96,6 @@
 		}
 		kept = append(kept, o)
 	}
-	for i, j := 0, len(kept)-1; i < j; i, j = i+1, j-1 {
-		kept[i], kept[j] = kept[j], kept[i]
-	}
+	slices.Reverse(kept)
 	return kept
 }
--- a/internal/platform/relay/relay.go
+++ b/internal/platform/relay/relay.go
@@ -23,6 +23,7 @@
 	"go.uber.org/zap"
 
 	"indigousher/brain"
+	"indigousher/internal/pause"
 )
 
 // Figures of calls.
@@ -52,14 +53,14 @@
 	News, Gaps                                               atomic.Int64
 }
 
-type dialer func(ctx context.Context, network, address string) (net.Conn, error)
+// dialer opens connections to the relay.
+var dialer = net.Dialer{Timeout: dialWithin}
 
 // Orders sends orders.
 type Orders struct {
 	Counters *Counters
 	kinds    []string
 	log      *zap.Logger
-	dial     dialer
 	mu       sync.Mutex
 	address  string
 	queue    [][]op // calls to make, oldest first
@@ -74,8 +75,7 @@
 
 // NewOrders returns the way out to a relay; kinds are the req kinds' names in order.
 func NewOrders(address string, kinds []string, c *Counters, log *zap.Logger) *Orders {
-	d := net.Dialer{Timeout: dialWithin}
-	return &Orders{Counters: c, kinds: kinds, log: log, dial: d.DialContext, address: address, wake: make(chan struct{}, 1)}
+	return &Orders{Counters: c, kinds: kinds, log: log, address: address, wake: make(chan struct{}, 1)}
 }
 
 // Carry queues what one turn ordered as one call.
@@ -176,8 +176,8 @@
 
 // Run makes calls until ctx ends.
 func (r *Orders) Run(ctx context.Context) error {
-	defer func() { r.hangUp() }()
-	pause := pauseLeast
+	defer r.hangUp()
+	next := pauseLeast
 	for ctx.Err() == nil {
 		call, address := r.next()
 		if call == nil {
@@ -189,17 +189,17 @@
 		}
 		taken, err := r.call(ctx, address, call)
 		if err == nil {
-			pause = pauseLeast
+			next = pauseLeast
 			r.took(call, taken)
 			continue
 		}
 		r.Counters.Failed.Add(1)
 		r.hangUp()
-		wait := pause
-		pause = min(2*pause, pauseMost)
+		wait := next
+		next = min(2*next, pauseMost)
 		switch {
 		case errors.Is(err, errLimit):
-			wait, pause = limitPause, pauseLeast
+			wait, next = limitPause, pauseLeast
 		case errors.Is(err, errUncertain):
 			r.Counters.Uncertain.Add(int64(len(call)))
 			r.log.Warn("call uncertain, said again", zap.Int("orders", len(call)), zap.Error(err))
@@ -213,20 +213,11 @@
 			r.log.Warn("call failed", zap.Int("orders", len(call)), zap.Error(err))
 		}
 		r.back(call, true)
-		sleep(ctx, wait)
+		pause.For(ctx, wait)
 	}
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // took counts what the relay took. The order it halted at is tried once more, in case the answer was wrong, and dropped
 // then; nothing of a halted order is written, so that trying costs the proxies nothing.
 func (r *Orders) took(call []op, taken int) {
@@ -262,7 +253,7 @@
 		r.hangUp()
 	}
 	if r.conn == nil {
-		conn, err := r.dial(ctx, "tcp", address)
+		conn, err := dialer.DialContext(ctx, "tcp", address)
 		if err != nil {
 			return 0, fmt.Errorf("%w: dial relay: %w", errNotSent, err)
 		}
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -16,6 +16,7 @@
 	"indigousher/brain"
 	"indigousher/internal/audit"
 	"indigousher/internal/day"
+	"indigousher/internal/pause"
 	"indigousher/internal/pilot"
 	"indigousher/internal/standin/trail"
 )
@@ -184,7 +185,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	day.Troubles = day.Troubles[:4]
 	go func() {
-		wait(ctx, 3_000_000_000)
+		pause.For(ctx, 3_000_000_000)
 		cancel()
 	}()
 	_, err = Play{Day: day}.Run(ctx)
--- a/internal/rehearsal/stage.go
+++ b/internal/rehearsal/stage.go
@@ -24,6 +24,7 @@
 	"indigousher/internal/daemon"
 	"indigousher/internal/day"
 	"indigousher/internal/keys"
+	"indigousher/internal/pause"
 	"indigousher/internal/pilot"
 	"indigousher/internal/standin/client"
 	"indigousher/internal/standin/endpoint"
@@ -482,7 +483,7 @@
 	errs := make([]error, len(s.Day.Troubles))
 	for i, t := range s.Day.Troubles {
 		wg.Go(func() {
-			if wait(ctx, time.Until(start.Add(t.At))) {
+			if pause.For(ctx, time.Until(start.Add(t.At))) {
 				s.own.Add(trail.Event{What: trail.Note, Text: t.String()})
 				s.Say("%5.1fs  %s", time.Since(start).Seconds(), t)
 				errs[i] = s.strike(ctx, t)
@@ -499,18 +500,6 @@
 	return errors.Join(errs...)
 }
 
-// wait sleeps and returns false if the day ended meanwhile.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(max(0, d))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // end stops all that runs; what a test started it leaves nothing of.
 func (s *stage) end() {
 	if s.keyDir != "" {
--- a/internal/translate/translate.go
+++ b/internal/translate/translate.go
@@ -21,7 +21,7 @@
 
 // In returns the index of a name, giving it one at its first appearance.
 func (d *Names) In(name string) int {
-	if i, ok := d.index[name]; ok {
+	if i, known := d.Find(name); known {
 		return i
 	}
 	if d.index == nil {
@@ -32,6 +32,29 @@
 	return len(d.names) - 1
 }
 
+// Find returns the index of a name that has one.
+func (d *Names) Find(name string) (i int, known bool) {
+	i, known = d.index[name]
+	return i, known
+}
+
+// Rename gives an index to another name; the one it had is forgotten.
+func (d *Names) Rename(i int, name string) {
+	delete(d.index, d.names[i])
+	d.index[name], d.names[i] = i, name
+}
+
+// Len returns how many indices there are.
+func (d *Names) Len() int { return len(d.names) }
+
+// Name returns the name behind an index, or nothing.
+func (d *Names) Name(i int) string {
+	if i < 0 || i >= len(d.names) {
+		return ""
+	}
+	return d.names[i]
+}
+
 // Out returns the name behind an index.
 func (d *Names) Out(i int) (string, error) {
 	if i < 0 || i >= len(d.names) {
--- a/internal/translate/translate_test.go
+++ b/internal/translate/translate_test.go
@@ -1,6 +1,7 @@
 package translate
 
 import (
+	"fmt"
 	"math"
 	"testing"
 
@@ -34,3 +35,19 @@
 	assert.Equal(t, want, Load(map[string]float64{"cpu_share": 0.5, "served_ps": 7}))
 	assert.Equal(t, brain.Load{"util": 0.5}, Load(map[string]float64{"util": 0.5, "qps": math.Inf(1), "queue": -1}))
 }
+
+// TestRename guards memory: an index that goes from name to name keeps none but the last.
+func TestRename(t *testing.T) {
+	var d Names
+	d.In("a")
+	for i := range 100 {
+		d.Rename(d.In("b"), fmt.Sprint("c", i))
+		d.Rename(1, "b")
+	}
+	assert.Equal(t, 2, d.Len())
+	assert.Len(t, d.index, 2)
+	assert.Equal(t, []string{"a", "b"}, d.All())
+	_, known := d.Find("c7")
+	assert.False(t, known)
+	assert.Equal(t, "", d.Name(2))
+}
