--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -86,9 +86,13 @@
 			x.Drop()
 		}, true, 1, 0},
 		{"noise", func(t *testing.T, path string) {
-			conn, err := net.DialUnix("unixpacket", nil, &net.UnixAddr{Name: path, Net: "unixpacket"})
-			require.NoError(t, err)
-			_, err = conn.Write([]byte("{"))
+			var conn *net.UnixConn
+			require.Eventually(t, func() bool { // the path is there from bind on, a dial is refused until listen
+				var err error
+				conn, err = net.DialUnix("unixpacket", nil, &net.UnixAddr{Name: path, Net: "unixpacket"})
+				return err == nil
+			}, 5*time.Second, time.Millisecond)
+			_, err := conn.Write([]byte("{"))
 			require.NoError(t, err)
 			_, err = conn.Read(make([]byte, 9))
 			assert.ErrorIs(t, err, io.EOF)
