Hindsight counts how reqs grew at the proxies that are joined, beside their shares

Change: a share is kept times how many times its ordinary reqs came to the zone; today's ordinary reqs weigh the tables. Proxies that join or leave stay out of it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -2,8 +2,7 @@
 
 // Call New once with the seed and the terms received at start, then Handle with each moment's notes: it
 // returns the orders. The interface is port.go, the design and its reasons docs/design.md. Endpoints,
-// regions (the proxies of a zone) and the courier (the channel) are actors with inboxes. Mechanisms beside
-// the design:
+// regions (the proxies of a zone) and the courier (the channel) are actors with inboxes. Beside the design:
 //  1. speed:     listed weights corrected by the speed that load reports show
 //  2. health:    an endpoint that fails or goes mute for a zone's proxies leaves and returns by trial
 //  3. foresight: demand that overfills a zone, or machines others need, counts before reports show it
@@ -21,28 +20,26 @@
 )
 
 const (
-	gatherMs   = 1000.0  // the gather window: reports are about this far apart
-	theta      = 0.25    // penalty gain in a gather
-	priciest   = 1.1     // a penalty above every rank says no more, and a higher one is slow to come down
-	single     = 0.4     // weight of an endpoint's own penalty against its zone's mean: one report is noisy
-	reach      = 1.5     // length of the gradient loop, in units of the own zone's part
-	calm       = 0.7     // weight of a new load report against the earlier ones
-	staleMs    = 5000.0  // a load report older than this counts as unheard
-	lagGathers = 3       // gathers until a report shows what a table changed
-	trialPart  = 0.12    // share of its normal weight that an endpoint on trial gets
-	enoughReqs = 20.0    // reqs that tell as much of a zone's demand as its proxies' ordinary rates
-	leastPart  = 0.05    // a line below this part of its listed share is not worth sending
-	fade       = 0.6     // what a gather leaves of the counts before it, and below, what a line of demand does
-	fewReports = 24      // speeds that a histogram holds of an endpoint before it is halved
-	markNames  = 65535   // marks are numbered below this, by their time
-	lastingMs  = 30000.0 // how long a proxy without a stream may hold what is gone
-	bindMs     = 100.0   // how often it is seen whether the channel has room for more binds
-	longQueue  = 10.0    // a queue that counts as much as a whole load on top of a full one
+	gatherMs   = 1000.0 // the gather window: reports are about this far apart
+	theta      = 0.25   // penalty gain in a gather
+	priciest   = 1.1    // a penalty above every rank says no more, and a higher one is slow to come down
+	reach      = 1.5    // length of the gradient loop, in units of the own zone's part
+	staleMs    = 5000.0 // a load report older than this counts as unheard
+	lagGathers = 3      // gathers until a report shows what a table changed
+	enoughReqs = 20.0   // reqs that tell as much of a zone's demand as its proxies' ordinary rates
+	fade       = 0.6    // what a gather leaves of the counts before it
+	fewReports = 24     // speeds that a histogram holds of an endpoint before it is halved
+	markNames  = 65535  // marks are numbered below this, by their time
+	longQueue  = 10.0   // a queue that counts as much as a whole load on top of a full one
 )
 
-// In sets: margin of latency and cost of a rank; waits for a trial; load that denies, how fast, what stays;
-// failures and load to try again at; gap that is sent, and more where a table takes the channel a second.
+// In sets: an endpoint's own penalty against its zone's mean, a load report against earlier ones, parts of a
+// share for a trial and worth a line; how long a proxy without a stream holds what is gone, how often binds
+// go on; margin of latency and cost of a rank; waits for a trial; load that denies, how fast, what stays;
+// failures and load to try again at; gap that is sent, more for a table of a second, fading of demand.
 const (
+	single, calm, trialPart, leastPart  = 0.4, 0.7, 0.12, 0.05
+	lastingMs, bindMs                   = 30000.0, 100.0
 	rankMargin, rankStep                = 1.3, 0.2
 	firstWait, longWait, waitGrowth     = 2000.0, 20000.0, 2.0
 	full, shedStep, release, leastLevel = 0.9, 0.06, 0.92, 0.1
@@ -53,9 +50,8 @@
 // Part of the connections that the least endpoint takes; most parts of a zone, proxies of one; least lines
 // of a table; parts of a line that bring and keep it there; gaps worth heads of a second of the channel.
 const (
-	ample, mostParts, leastUsers = 0.7, 8, 10
-	leastLines, enters, stays    = 2.5, 0.35, 0.1
-	heavy                        = 0.5
+	ample, mostParts, leastUsers     = 0.7, 8, 10
+	leastLines, enters, stays, heavy = 2.5, 0.35, 0.1, 0.5
 )
 
 type briefing map[string]any
@@ -246,7 +242,7 @@
 	clear(b.demand) // ordinary rates, corrected by what the sums of the last seconds show
 	for _, i := range slices.Sorted(maps.Keys(b.proxies)) {
 		z := b.proxies[i].Zone
-		rate := b.proxies[i].Rate * (b.seen[z] + enoughReqs) / (b.usual[z] + enoughReqs)
+		rate := b.proxies[i].Rate * b.rush(z)
 		b.demand[z], b.demand[-1] = b.demand[z]+rate, b.demand[-1]+rate
 	}
 	b.mean = b.knee / 2
@@ -260,6 +256,11 @@
 	}
 }
 
+// rush is how many times its ordinary reqs come to a zone, those that come again included.
+func (b *Brain) rush(zone int) float64 {
+	return (b.seen[zone] + enoughReqs) / (b.usual[zone] + enoughReqs)
+}
+
 func (b *Brain) drain() {
 	for busy := true; busy; {
 		busy = false
@@ -419,7 +420,7 @@
 func (e *endpoint) hindsight() float64 {
 	then, now := 0.0, 0.0
 	for _, t := range slices.Sorted(maps.Keys(e.planned[0])) {
-		d := e.b.demand[t/len(e.b.groups)]
+		d := e.b.demand[t/len(e.b.groups)] / e.b.rush(t/len(e.b.groups))
 		then, now = then+d*e.planned[lagGathers+1][t], now+d*e.planned[0][t]
 	}
 	e.planned = slices.Insert(e.planned[:lagGathers+1], 0, maps.Clone(e.planned[0]))
@@ -588,7 +589,7 @@
 		}
 		for _, l := range lines {
 			load += l.x * math.Min(1, r.offers[l.be].load)
-			r.b.bes[l.be].post(SetLine{r.zone*groups + g, l.be, l.x})
+			r.b.bes[l.be].post(SetLine{r.zone*groups + g, l.be, l.x * r.b.rush(r.zone)})
 		}
 		r.deal(g, lines, unit)
 		if step {
@@ -637,7 +638,7 @@
 func (r *region) candidates(g int) (lines []line, own float64) {
 	costs, own, load := r.costs(g)
 	sum, near, chill, trusted := 1e-9, 1e-9, 1e-9, 0.0
-	rush := (r.b.seen[r.zone] + enoughReqs) / (r.b.usual[r.zone] + enoughReqs)   // who is refused comes again
+	rush := r.b.rush(r.zone)                                                     // who is refused comes again
 	cold, bend := pick(r.b.gathers < 5, 0, (1-r.failing)/math.Max(1, rush)), 1.0 // a fresh pilot: none
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
 		o, l := r.offers[i], line{be: i}
