A zone's own lines stay in all of its tables when it spills; spilt ones are in a few

Checked: connections do not ask for it, the zone's own proxies are 50 at an endpoint that takes 74. Lines at fault: one count of lines for home and spill in deal. Change: two rings, the zone's own lines first; what is spilt has the room that they leave, one run at the least. Test: TestSpillDrivesNoneOut.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -80,7 +80,7 @@
 type Brain struct {
 	inbox
 	brief           briefing
-	gathers         int
+	gathers, parts  int     // parts: tables that a zone's proxies are dealt to, for each group
 	now, knee, mean float64 // mean: of the loads heard
 	speeds          histogram
 	woken           bool
@@ -89,7 +89,6 @@
 	actors          []*inbox
 	desk            *courier
 	groups          []kindGroup
-	parts           int        // tables that a zone's proxies are dealt to, for each group
 	kinds           []briefing // what was told of each req kind
 	proxies         map[int]Joined
 	seen, usual     map[int]float64 // reqs that came by the proxies' zone, and ordinarily do, fading
@@ -598,38 +597,40 @@
 	}
 }
 
-// deal gives each of a group's tables a run of the lines, laid end to end by share, on a ring: all runs bring
-// as much, and an endpoint is in as many as its connections allow. Mostly that is all of them.
+// deal gives each of a group's tables a run of the zone's own lines, mostly all, and one of those spilt that
+// drives none of them out, laid end to end by share on a ring, as long as the endpoints' connections allow.
 func (r *region) deal(g int, lines []line, unit float64) {
-	count, ready, sum, parts := 0.0, 0.0, 1e-9, float64(r.b.parts)
-	used := make([]float64, len(lines))
+	var ready, count, sum = 0.0, [2]float64{}, [2]float64{} // of the own, of those spilt
+	used, parts := make([]float64, len(lines)), float64(r.b.parts)
 	for i, l := range lines {
-		o := r.offers[l.be]
 		used[i] = pick(l.x > leastPart*l.listed, l.x, 0)
-		ready += pick(o.Phase == Ready && o.trust > 0, 1, 0)
-		count, sum = count+pick(used[i] > 0, 1, 0), sum+used[i]
+		ready += pick(r.offers[l.be].Phase == Ready && r.offers[l.be].trust > 0, 1, 0)
+		count[l.away], sum[l.away] = count[l.away]+pick(used[i] > 0, 1, 0), sum[l.away]+used[i]
 	}
 	most := ample * r.b.brief.num("conns_least", 1e9) * ready / r.b.brief.num("proxy_count", 1)
-	want := pick(most >= count, parts, math.Min(parts, parts*math.Max(most-1, leastLines)/math.Max(count, 1)))
-	if math.Abs(want-r.runs[g]) > 0.7 || want == parts {
-		r.runs[g] = math.Max(1, math.Round(want))
+	for k, room := range []float64{most, most - count[0]} {
+		want := math.Min(parts, parts*math.Max(room-1, leastLines)/math.Max(count[k], 1))
+		if want = pick(room >= count[k], parts, want); want == parts || math.Abs(want-r.runs[2*g+k]) > 0.7 {
+			r.runs[2*g+k] = math.Max(1, math.Round(want))
+		}
 	}
 	for p := range r.b.parts {
-		t, at := r.b.desk.tables[r.b.table(r.zone*r.b.parts+p, g)], 0.0
-		from, width := float64(p)/parts, r.runs[g]/parts
+		t, at := r.b.desk.tables[r.b.table(r.zone*r.b.parts+p, g)], [2]float64{}
 		for i, l := range lines {
-			mass := used[i] / sum
-			over := math.Max(0, math.Min(at+mass, from+width)-math.Max(at, from)) +
-				math.Max(0, math.Min(at+mass, from+width-1)-math.Max(at, from-1))
+			k := l.away
+			from, width, mass := float64(p)/parts, r.runs[2*g+k]/parts, used[i]/math.Max(sum[k], 1e-9)
+			over := math.Max(0, math.Min(at[k]+mass, from+width)-math.Max(at[k], from)) +
+				math.Max(0, math.Min(at[k]+mass, from+width-1)-math.Max(at[k], from-1))
 			in := over > pick(t.sent[l.be] > 0, stays, enters)*math.Min(mass, width)
-			r.b.desk.post(SetLine{t.number, l.be, pick(in, l.x/unit*pick(width < 1, math.Ceil(3*over/mass)/3, 1), 0)})
-			at += mass
+			part := pick(width < 1, math.Ceil(3*over/mass)/3, 1) * r.runs[2*g] / r.runs[2*g+k]
+			r.b.desk.post(SetLine{t.number, l.be, pick(in, l.x/unit*part, 0)})
+			at[k] += mass
 		}
 	}
 }
 
 type line struct {
-	be                   int
+	be, away             int // away: 0 in the own zone, else 1
 	listed, cost, cap, x float64
 }
 
@@ -641,7 +642,7 @@
 	rush := r.b.rush(r.zone)                                                     // who is refused comes again
 	cold, bend := pick(r.b.gathers < 5, 0, (1-r.failing)/math.Max(1, rush)), 1.0 // a fresh pilot: none
 	for _, i := range slices.Sorted(maps.Keys(r.offers)) {
-		o, l := r.offers[i], line{be: i}
+		o, l := r.offers[i], line{be: i, away: int(pick(r.offers[i].Zone == r.zone, 0, 1))}
 		if r.b.groups[g].open(r.zone, o) && o.Phase == Ready {
 			w := r.weight(g, o)
 			l.listed, l.cost, l.cap = w, costs[o.Zone]+single*o.price, 1
@@ -749,10 +750,9 @@
 	proxies                  map[int]*proxy
 	out                      map[int]float64 // endpoints that drain or are gone, and since when
 	waiting, sure, at        float64         // lines that may wait yet, by batches and by answers; when
-	newcomers                float64         // when the last came since what is out was said again; 0: none
+	newcomers, told          float64         // when the last came since what is out was said again; when any was
 	reminded, woken, written float64         // when that was; when binding goes on; lines so far
 	untold                   map[int]bool    // what is out and has yet to be said
-	told                     float64         // when something was
 	marks                    map[int]*batch
 	each                     map[int]float64 // lines written to each proxy in this flush
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -704,3 +704,42 @@
 		})
 	}
 }
+
+// TestSpillDrivesNoneOut guards tables of zones that are dealt in parts: a little spilt beside the own lines cut each
+// table to a quarter of them, and all were sent again as it came and went (reload live, seed 371080736025).
+func TestSpillDrivesNoneOut(t *testing.T) {
+	for name, c := range map[string]struct {
+		util   float64 // of the own zone's endpoints
+		spills bool
+	}{"no spill": {0.4, false}, "some": {0.95, true}, "much": {1.2, true}} {
+		t.Run(name, func(t *testing.T) {
+			var list []Entry
+			own := []int{}
+			for i := range 30 {
+				list = append(list, Entry{Endpoint: i, Zone: i / 10, Weight: 1})
+				own = append(own, i%10)
+			}
+			p := pilot(t, func(terms map[string]any, _ []Entry) {
+				terms["proxy_count"], terms["conns_least"], terms["zones"], terms["by_zone"] = 150.0, 74.0, []any{"a", "b", "c"}, true
+			})
+			p.step(Listing{Mode: Whole, Entries: list})
+			p.gather(12, func() []Note { return tries(0, 20, 0, c.util, own[:10]...) })
+			in := map[int]int{} // tables that an endpoint is in
+			for part := range p.b.parts {
+				for i, w := range p.b.desk.tables[part].want {
+					in[i] += int(pick(w > 0, 1, 0))
+				}
+			}
+			spilt := 0
+			for i := range 30 {
+				if i < 10 {
+					assert.Equal(t, p.b.parts, in[i], "endpoint %d of the zone", i)
+					continue
+				}
+				assert.LessOrEqual(t, in[i], 2, "endpoint %d of another", i)
+				spilt += in[i]
+			}
+			assert.Equal(t, c.spills, spilt > 0)
+		})
+	}
+}
