Few cold endpoints are held back where their zone's reqs were three times what fells them

What it believed printed each gather: the zone with 370 of 500 reqs a second loses its nine warm endpoints at 21.98 s, and two that are 5 s old get all of it within 1.5 s, before any sum can tell. Load was 0.58 and few tries failed, so caps of cold ones were eased to 0.84. Lines at fault: ease in candidates, which looks at load and failures, not at what would come if the zone went. Change: no ease where all the zone's reqs would be three times what fells its cold ones, all of it up to twice that. Test: TestFewColdAreHeldBack.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -652,10 +652,10 @@
 		}
 		lines = append(lines, l)
 	}
-	near = math.Max(near, sum/float64(len(r.b.regions))) // the last of a zone is no giant
-	whole := load * near * math.Max(1, rush)             // the zone's, with what comes again
-	if r.b.brief.num("ejects_after", 0) > 0 && whole/chill > 0.8*r.b.brief.num("fall_multiple", 1) {
-		ease := math.Max(0, math.Min(1, math.Min(1-4*r.failing, (0.85-load)/0.2)))
+	near = math.Max(near, sum/float64(len(r.b.regions)))                               // the last of a zone is no giant
+	few := load * near * math.Max(1, rush) / chill / r.b.brief.num("fall_multiple", 1) // were all to turn to them
+	if r.b.brief.num("ejects_after", 0) > 0 && few > 0.8 {
+		ease := math.Max(0, math.Min(math.Min(1, 3-few), math.Min(1-4*r.failing, (0.85-load)/0.2)))
 		cold, bend = math.Min(cold, ease), 3-2*ease
 	}
 	chilled, tried := 0.0, 1e-9
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -743,3 +743,25 @@
 		})
 	}
 }
+
+// TestFewColdAreHeldBack guards cold endpoints whose zone may be lost at any moment: where all its reqs would be three
+// times what fells them, they have none of it yet (jadran-docs-later, rules-4 of seed 3276554681: failback).
+func TestFewColdAreHeldBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		util, age float64
+		used      bool
+	}{
+		"just started":           {0.6, 500, false},
+		"older":                  {0.6, 5000, true},
+		"just started, few reqs": {0.3, 500, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := pilot(t, func(terms map[string]any, _ []Entry) { terms["ejects_after"] = 5.0 })
+			load := func() []Note { return tries(0, 20, 0, c.util, 0, 1, 2, 3, 4, 5) }
+			p.gather(8, load)
+			p.step(Listing{Mode: Changes, Entries: []Entry{{Endpoint: 0, Zone: 0, Weight: 2, Started: p.now - c.age}}})
+			p.gather(2, load)
+			assert.Equal(t, c.used, p.share(0, 0) > 0)
+		})
+	}
+}
