First sums of endpoints that started long ago count, though their span began before the clock

Cause, found in reading the change again: a start of 0 stands for long ago, and a sum whose span reaches back before the pilot's clock began is later than nothing but that 0, so that for the first seconds of a live pilot no tries counted. Lines at fault: Met in Brain.sort. Change: only a start that is told ends what came before. Test: TestFirstSumsCount.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -2,7 +2,8 @@
 
 // Call New once with the seed and the terms received at start, then Handle with each moment's notes: it
 // returns the orders. The interface is port.go, the design and its reasons docs/design.md. Endpoints,
-// regions (the proxies of a zone) and the courier (the channel) are actors with inboxes. Beside the design:
+// regions (the proxies of a zone) and the courier (the channel) are actors with inboxes.
+// Mechanisms beside the design:
 //  1. speed:     listed weights corrected by the speed that load reports show
 //  2. health:    an endpoint that fails or goes mute for a zone's proxies leaves and returns by trial
 //  3. foresight: demand that overfills a zone, or machines others need, counts before reports show it
@@ -205,8 +206,9 @@
 	case Probed:
 		b.be(n.Endpoint).post(n)
 	case Met: // counts that began before the endpoint started again tell of the process that is gone
-		count := int(pick(b.be(n.Endpoint).Started > b.now-n.SpanMs, 0, 1))
-		n.Tries, n.Failed = count*n.Tries, count*n.Failed
+		if at := b.be(n.Endpoint).Started; at != 0 && at > b.now-n.SpanMs {
+			n.Tries, n.Failed = 0, 0
+		}
 		b.be(n.Endpoint).post(n)
 		b.region(n.Zone).post(n)
 	default: // who is joined, what comes to them and what they applied
@@ -256,9 +258,7 @@
 }
 
 // rush is how many times its ordinary reqs come to a zone, those that come again included.
-func (b *Brain) rush(zone int) float64 {
-	return (b.seen[zone] + enoughReqs) / (b.usual[zone] + enoughReqs)
-}
+func (b *Brain) rush(z int) float64 { return (b.seen[z] + enoughReqs) / (b.usual[z] + enoughReqs) }
 
 func (b *Brain) drain() {
 	for busy := true; busy; {
@@ -652,9 +652,9 @@
 		}
 		lines = append(lines, l)
 	}
-	near = math.Max(near, sum/float64(len(r.b.regions)))                               // the last of a zone is no giant
-	few := load * near * math.Max(1, rush) / chill / r.b.brief.num("fall_multiple", 1) // were all to turn to them
-	if r.b.brief.num("ejects_after", 0) > 0 && few > 0.8 {
+	near = math.Max(near, sum/float64(len(r.b.regions))) // the last of a zone is no giant
+	few := math.Max(1, rush) * load * near / chill / r.b.brief.num("fall_multiple", 1)
+	if r.b.brief.num("ejects_after", 0) > 0 && few > 0.8 { // too few, were the zone's reqs all to turn to them
 		ease := math.Max(0, math.Min(math.Min(1, 3-few), math.Min(1-4*r.failing, (0.85-load)/0.2)))
 		cold, bend = math.Min(cold, ease), 3-2*ease
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -765,3 +765,20 @@
 		})
 	}
 }
+
+// TestFirstSumsCount guards a pilot's first sums, whose span began before its clock: endpoints that started long ago had them
+// dropped as if they had just started.
+func TestFirstSumsCount(t *testing.T) {
+	for name, c := range map[string]struct{ started, failing float64 }{"long ago": {0, 1}, "since the sum began": {-100, 0}} {
+		t.Run(name, func(t *testing.T) {
+			p := pilot(t, func(_ map[string]any, entries []Entry) {
+				for i := range entries {
+					entries[i].Started = c.started
+				}
+			})
+			p.now = 300
+			p.step(append(tries(0, 0, 20, 0.3, 0, 1), Alarm{"gather"})...)
+			assert.InDelta(t, c.failing, p.b.regions[0].failing, 1e-9)
+		})
+	}
+}
