One Inbox for all edges, one test of a passing accept, one bound of files

Need: read again as a whole, the change had written three times more what six edges had (Inbox), framed's test of an accept that may be tried again, and the bound of terms' files; the module asked for a zone's rush at every line; the door slept past the end of its context; a check for not-a-number stood beside Sound, which refuses it. Change: pilot.Inbox, pause.Passing, terms.MostBytes; rush once a solve; pause.For in the door.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -582,13 +582,13 @@
 	for g := range r.b.groups {
 		lines, own := r.candidates(g)
 		share(lines, own)
-		load, unit := 0.0, 1e-9
+		load, unit, rush := 0.0, 1e-9, r.b.rush(r.zone)
 		for _, l := range lines { // the fullest line stands still, so that spill alone moves few others
 			unit = math.Max(unit, l.x/math.Max(l.listed, 1e-9))
 		}
 		for _, l := range lines {
 			load += l.x * math.Min(1, r.offers[l.be].load)
-			r.b.bes[l.be].post(SetLine{r.zone*groups + g, l.be, l.x * r.b.rush(r.zone)})
+			r.b.bes[l.be].post(SetLine{r.b.table(r.zone, g), l.be, l.x * rush})
 		}
 		r.deal(g, lines, unit)
 		if step {
--- a/internal/edge/framed/framed.go
+++ b/internal/edge/framed/framed.go
@@ -23,11 +23,6 @@
 	"indigousher/internal/wire"
 )
 
-// Inbox is where inputs go: the runtime's loop.
-type Inbox interface {
-	Post(ctx context.Context, in pilot.Input) error
-}
-
 // Door says how streams are kept.
 type Door struct {
 	Pilot         string
@@ -44,7 +39,7 @@
 // Server accepts proxies' streams.
 type Server struct {
 	door  Door
-	inbox Inbox
+	inbox pilot.Inbox
 	log   *zap.Logger
 	mu    sync.Mutex
 	live  map[*stream]bool
@@ -53,7 +48,7 @@
 }
 
 // NewServer returns a server that does not listen yet.
-func NewServer(d Door, inbox Inbox, log *zap.Logger) *Server {
+func NewServer(d Door, inbox pilot.Inbox, log *zap.Logger) *Server {
 	return &Server{door: d, inbox: inbox, log: log, live: map[*stream]bool{}}
 }
 
@@ -75,7 +70,7 @@
 				}
 				return nil
 			}
-			if isPassing(err) { // no free descriptor: those that are served go on
+			if pause.Passing(err) { // no free descriptor: those that are served go on
 				s.log.Warn("accept", zap.Error(err))
 				pause.For(ctx, 100*time.Millisecond)
 				continue
@@ -92,11 +87,6 @@
 	}
 }
 
-func isPassing(err error) bool {
-	var ne net.Error
-	return errors.As(err, &ne) && !errors.Is(err, net.ErrClosed)
-}
-
 // Kill closes every stream at once and without a word, as the end of a process would.
 func (s *Server) Kill() {
 	s.mu.Lock()
--- a/internal/edge/grpcedge/server.go
+++ b/internal/edge/grpcedge/server.go
@@ -26,11 +26,6 @@
 	pb "indigousher/proto/indigousher/v1"
 )
 
-// Inbox is where inputs go: the runtime's loop.
-type Inbox interface {
-	Post(ctx context.Context, in pilot.Input) error
-}
-
 // Door says how streams are kept.
 type Door struct {
 	Pilot      string
@@ -54,7 +49,7 @@
 type Server struct {
 	pb.UnimplementedControlServer
 	door  Door
-	inbox Inbox
+	inbox pilot.Inbox
 	log   *zap.Logger
 	pace  *rate.Limiter
 	mu    sync.Mutex
@@ -65,7 +60,7 @@
 }
 
 // New returns a server that does not listen. Others may register on Registrar before Serve.
-func New(d Door, inbox Inbox, log *zap.Logger) *Server {
+func New(d Door, inbox pilot.Inbox, log *zap.Logger) *Server {
 	s := &Server{door: d, inbox: inbox, log: log, live: map[*stream]bool{},
 		pace: rate.NewLimiter(rate.Limit(max(d.NewPerS, 1)), herd)}
 	if d.NewPerS <= 0 {
--- a/internal/edge/list/list.go
+++ b/internal/edge/list/list.go
@@ -18,11 +18,6 @@
 	"indigousher/internal/wire"
 )
 
-// Inbox is where inputs go: the runtime's loop.
-type Inbox interface {
-	Post(ctx context.Context, in pilot.Input) error
-}
-
 // Dial opens a connection.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -32,14 +27,14 @@
 	Who     string // this pilot's name
 	Address string
 	Dial    Dial
-	Inbox   Inbox
+	Inbox   pilot.Inbox
 	Log     *zap.Logger
 	Silence time.Duration // without a word for so long the source is taken for lost
 	asks    chan wire.ListAsk
 }
 
 // NewStream returns a source that has not dialled.
-func NewStream(who, address string, dial Dial, inbox Inbox, silence time.Duration, log *zap.Logger) *Stream {
+func NewStream(who, address string, dial Dial, inbox pilot.Inbox, silence time.Duration, log *zap.Logger) *Stream {
 	return &Stream{Who: who, Address: address, Dial: dial, Inbox: inbox, Log: log, Silence: silence,
 		asks: make(chan wire.ListAsk, 16)}
 }
@@ -154,7 +149,7 @@
 type File struct {
 	Path  string
 	Load  Load
-	Inbox Inbox
+	Inbox pilot.Inbox
 	Log   *zap.Logger
 	// Settles is for how long a file stays as it is before it is read: its writer may not be done.
 	Settles time.Duration
@@ -171,7 +166,7 @@
 )
 
 // NewFile returns a source that has not read its file.
-func NewFile(path string, load Load, inbox Inbox, log *zap.Logger) *File {
+func NewFile(path string, load Load, inbox pilot.Inbox, log *zap.Logger) *File {
 	return &File{Path: path, Load: load, Inbox: inbox, Log: log, Settles: settles, again: make(chan struct{}, 1)}
 }
 
--- a/internal/edge/peers/peers.go
+++ b/internal/edge/peers/peers.go
@@ -63,17 +63,12 @@
 	return from, number, text, err
 }
 
-// Inbox is where inputs go: the runtime's loop.
-type Inbox interface {
-	Post(ctx context.Context, in pilot.Input) error
-}
-
 // Post is one pilot's socket for notes.
 type Post struct {
 	conn  net.PacketConn
 	rank  int
 	peers map[int]net.Addr
-	inbox Inbox
+	inbox pilot.Inbox
 	log   *zap.Logger
 	pace  *rate.Limiter
 	// Secret, if not nil, seals all notes; nothing else is taken in.
@@ -82,7 +77,7 @@
 }
 
 // Open returns a post on an open socket. Peers are addresses by rank.
-func Open(conn net.PacketConn, rank int, peers map[int]string, inbox Inbox, log *zap.Logger) (*Post, error) {
+func Open(conn net.PacketConn, rank int, peers map[int]string, inbox pilot.Inbox, log *zap.Logger) (*Post, error) {
 	p := &Post{conn: conn, rank: rank, peers: map[int]net.Addr{}, inbox: inbox, log: log,
 		pace: rate.NewLimiter(1000, 1000), once: map[int]*keys.Once{}}
 	for r, name := range peers {
--- a/internal/edge/probe/probe.go
+++ b/internal/edge/probe/probe.go
@@ -15,18 +15,13 @@
 	"indigousher/internal/wire"
 )
 
-// Inbox is where inputs go: the runtime's loop.
-type Inbox interface {
-	Post(ctx context.Context, in pilot.Input) error
-}
-
 // Dial opens a connection.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Prober sends probes.
 type Prober struct {
 	Dial    Dial
-	Inbox   Inbox
+	Inbox   pilot.Inbox
 	Timeout time.Duration
 	ctx     context.Context
 	slots   chan struct{}
@@ -34,7 +29,7 @@
 }
 
 // New returns a prober whose probes end with ctx; at most so many are under way.
-func New(ctx context.Context, dial Dial, inbox Inbox, timeout time.Duration, most int) *Prober {
+func New(ctx context.Context, dial Dial, inbox pilot.Inbox, timeout time.Duration, most int) *Prober {
 	return &Prober{Dial: dial, Inbox: inbox, Timeout: timeout, ctx: ctx, slots: make(chan struct{}, most)}
 }
 
--- a/internal/edge/xdsedge/xdsedge.go
+++ b/internal/edge/xdsedge/xdsedge.go
@@ -60,11 +60,6 @@
 	mostMarks    = 1024 // that wait for a proxy which asks for no endpoints; older ones are forgotten
 )
 
-// Inbox is where inputs go: the runtime's loop.
-type Inbox interface {
-	Post(ctx context.Context, in pilot.Input) error
-}
-
 // Door says how streams are kept.
 type Door struct {
 	Kinds      []string
@@ -81,14 +76,14 @@
 	ads.UnimplementedAggregatedDiscoveryServiceServer
 	lrs.UnimplementedLoadReportingServiceServer
 	door  Door
-	inbox Inbox
+	inbox pilot.Inbox
 	log   *zap.Logger
 	mu    sync.Mutex
 	nodes map[string]*stream
 }
 
 // New returns a server; Register lets it be asked.
-func New(d Door, inbox Inbox, log *zap.Logger) *Server {
+func New(d Door, inbox pilot.Inbox, log *zap.Logger) *Server {
 	return &Server{door: d, inbox: inbox, log: log, nodes: map[string]*stream{}}
 }
 
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"time"
 )
 
@@ -18,3 +20,10 @@
 		return false
 	}
 }
+
+// Passing tells an accept that failed for want of a descriptor, or the like, and may be tried again after a pause from a
+// listener that is closed.
+func Passing(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && !errors.Is(err, net.ErrClosed)
+}
--- a/internal/pilot/loop.go
+++ b/internal/pilot/loop.go
@@ -47,6 +47,11 @@
 	state  State
 }
 
+// Inbox is where edges put inputs: the loop, mostly.
+type Inbox interface {
+	Post(ctx context.Context, in Input) error
+}
+
 // State is what the loop shows of itself after each turn.
 type State struct {
 	Proxies, Endpoints, Lines, MostLines, MostMessages int
--- a/internal/platform/agent/agent.go
+++ b/internal/platform/agent/agent.go
@@ -93,18 +93,13 @@
 		Started: uint64(e.SinceMs)}, true
 }
 
-// Inbox is where inputs go: the runtime's loop.
-type Inbox interface {
-	Post(ctx context.Context, in pilot.Input) error
-}
-
 // Counters of the calls, for the pilot's book-keeping.
 type Counters struct{ Calls, Failed, Lists, Odd atomic.Int64 }
 
 // Agent follows the list.
 type Agent struct {
 	Counters Counters
-	inbox    Inbox
+	inbox    pilot.Inbox
 	log      *zap.Logger
 	mu       sync.Mutex
 	address  string
@@ -117,7 +112,7 @@
 }
 
 // New returns an agent that does nothing before Run. With watch it follows the list unasked.
-func New(address string, watch bool, inbox Inbox, log *zap.Logger) *Agent {
+func New(address string, watch bool, inbox pilot.Inbox, log *zap.Logger) *Agent {
 	return &Agent{address: address, watching: watch, inbox: inbox, log: log, wake: make(chan struct{}, 1)}
 }
 
--- a/internal/platform/config/config.go
+++ b/internal/platform/config/config.go
@@ -20,7 +20,6 @@
 
 // Bounds of the file and of what it may name.
 const (
-	mostBytes   = 16 << 20
 	mostProxies = 65535
 	mostZones   = 1024
 )
@@ -87,8 +86,8 @@
 
 // Parse checks a file's text.
 func Parse(text []byte) (*Placement, error) {
-	if len(text) > mostBytes {
-		return nil, fmt.Errorf("longer than %d bytes", mostBytes)
+	if len(text) > terms.MostBytes {
+		return nil, fmt.Errorf("longer than %d bytes", terms.MostBytes)
 	}
 	p := &Placement{}
 	if err := json.Unmarshal(text, p); err != nil {
--- a/internal/platform/door/door.go
+++ b/internal/platform/door/door.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"indigousher/internal/pause"
 	"indigousher/internal/pilot"
 )
 
@@ -32,11 +33,6 @@
 	logEach    = time.Second
 )
 
-// Inbox is where inputs go: the runtime's loop.
-type Inbox interface {
-	Post(ctx context.Context, in pilot.Input) error
-}
-
 // Counters of what came, for the pilot's book-keeping.
 type Counters struct{ Accepted, Collectors, Reports, Spoilt, Refused, Silent, Evicted atomic.Int64 }
 
@@ -45,7 +41,7 @@
 	Counters Counters
 	zones    []string
 	most     int // connections that have not joined
-	inbox    Inbox
+	inbox    pilot.Inbox
 	log      *zap.Logger
 	mu       sync.Mutex
 	waiting  *list.List            // of net.Conn that have not joined, oldest first
@@ -55,7 +51,7 @@
 }
 
 // New returns a door for collectors of these zones; most connections may stand that have not joined.
-func New(zones []string, most int, inbox Inbox, log *zap.Logger) *Door {
+func New(zones []string, most int, inbox pilot.Inbox, log *zap.Logger) *Door {
 	return &Door{zones: zones, most: max(1, most), inbox: inbox, log: log, waiting: list.New(),
 		joined: map[string][]net.Conn{}}
 }
@@ -74,10 +70,9 @@
 				_ = g.Wait() // only says that the listener is closed
 				return nil
 			}
-			var ne net.Error
-			if errors.As(err, &ne) && !errors.Is(err, net.ErrClosed) { // no free descriptor: the oldest stranger goes
+			if pause.Passing(err) { // no free descriptor: the oldest stranger goes
 				d.evict(0)
-				time.Sleep(5 * time.Millisecond)
+				pause.For(ctx, 5*time.Millisecond)
 				continue
 			}
 			return fmt.Errorf("accept on %s: %w", l.Addr(), err)
--- a/internal/platform/door/line.go
+++ b/internal/platform/door/line.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"math"
 	"strconv"
 
 	"indigousher/brain"
@@ -65,7 +64,7 @@
 
 func figure(text []byte) (float64, bool) {
 	v, err := strconv.ParseFloat(string(text), 64)
-	return v, err == nil && !math.IsNaN(v) && brain.Sound(v)
+	return v, err == nil && brain.Sound(v) // not-a-number is not sound
 }
 
 func (w *words) name(name string) (string, bool) {
--- a/internal/platform/relay/news.go
+++ b/internal/platform/relay/news.go
@@ -32,11 +32,6 @@
 	mostMarks = 8 // answers to marks remembered of each proxy
 )
 
-// Inbox is where inputs go: the runtime's loop.
-type Inbox interface {
-	Post(ctx context.Context, in pilot.Input) error
-}
-
 // event is one line of news.
 type event struct {
 	Type   string `json:"type"`
@@ -73,7 +68,7 @@
 // other tells in vain. Only where both were broken is anything inferred from what stands at the next opening.
 type News struct {
 	Counters *Counters
-	inbox    Inbox
+	inbox    pilot.Inbox
 	log      *zap.Logger
 	mu       sync.Mutex
 	address  string
@@ -83,7 +78,7 @@
 }
 
 // NewNews returns a reader of a relay's news.
-func NewNews(address string, inbox Inbox, c *Counters, log *zap.Logger) *News {
+func NewNews(address string, inbox pilot.Inbox, c *Counters, log *zap.Logger) *News {
 	return &News{Counters: c, inbox: inbox, log: log, address: address, members: map[int]*member{}}
 }
 
--- a/internal/terms/read.go
+++ b/internal/terms/read.go
@@ -39,7 +39,7 @@
 // Bounds of a text. HCL's parser calls itself for what is nested, and a process that runs out of stack ends without
 // a word: that a text is too deep has to be seen before it is parsed.
 const (
-	mostBytes = 16 << 20
+	MostBytes = 16 << 20
 	mostDeep  = 200   // blocks, lists, templates and parentheses within one another
 	mostSigns = 10000 // signs that take what follows them: ! - ?
 
@@ -53,13 +53,13 @@
 		return nil, err
 	}
 	defer f.Close()
-	return io.ReadAll(io.LimitReader(f, mostBytes+1))
+	return io.ReadAll(io.LimitReader(f, MostBytes+1))
 }
 
 // bounded complains of a text that is too long or too deep.
 func bounded(name string, text []byte) hcl.Diagnostics {
-	if len(text) > mostBytes {
-		return hcl.Diagnostics{complaint(hcl.Range{Filename: name, Start: hcl.InitialPos}, "longer than %d bytes", mostBytes)}
+	if len(text) > MostBytes {
+		return hcl.Diagnostics{complaint(hcl.Range{Filename: name, Start: hcl.InitialPos}, "longer than %d bytes", MostBytes)}
 	}
 	tokens, _ := hclsyntax.LexConfig(text, name, hcl.InitialPos) // what is wrong with them the parser says
 	deep, signs := 0, 0
