--- /dev/null
+++ b/cmd/indigousher/silence_test.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"indigousher/internal/standin/catalog"
+	"indigousher/internal/standin/relay"
+)
+
+// Figures of the deployment that falls silent.
+const (
+	silenceProxies   = 80
+	silenceBacklog   = 1200
+	silenceGrace     = 3 * time.Second
+	silenceSlack     = 300 * time.Millisecond // what the rules add on sockets
+	silenceLasts     = 5 * time.Second
+	silenceEndpoints = 30
+)
+
+// lockedBuffer is a log that is read while a process writes to it.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// silentSite is a pilot's process between a stand-in relay and a stand-in list.
+type silentSite struct {
+	t       *testing.T
+	relay   *relay.Relay
+	catalog *catalog.Catalog
+	log     lockedBuffer
+}
+
+func startSilentSite(t *testing.T, binary string) *silentSite {
+	zones, standing := []string{"a", "b", "c"}, map[string][]string{}
+	var members []catalog.Member
+	for i := range silenceEndpoints {
+		m := catalog.Member{Name: fmt.Sprint("s-", i), Zone: zones[i%len(zones)], Status: catalog.Active}
+		members, standing[m.Zone] = append(members, m), append(standing[m.Zone], m.Name)
+	}
+	var proxies []relay.Proxy
+	for i := range silenceProxies {
+		proxies = append(proxies, relay.Proxy{Number: i, Zone: zones[i%len(zones)], Rate: 10})
+	}
+	s := &silentSite{t: t}
+	var err error
+	s.relay, err = relay.Start(relay.Config{Proxies: proxies, Standing: standing, LinesPerS: 800, HeadLines: 4,
+		Transit: 150 * time.Millisecond})
+	require.NoError(t, err)
+	t.Cleanup(s.relay.Close)
+	s.catalog, err = catalog.Start(members)
+	require.NoError(t, err)
+	t.Cleanup(s.catalog.Close)
+	s.startPilot(binary)
+	return s
+}
+
+func (s *silentSite) startPilot(binary string) {
+	listen, file := freePort(s.t), filepath.Join(s.t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","limits":{"cores":1,"memory_mb":64,"sockets":256},
+"relay":{"address":%q},"settings":{"dcs":["a","b","c"],"kinds":["m"],"instances":1,"rank":0,"discovery":"pushed",
+"profiles":[{"name":"read"}],"report":{"fields":["cpu_share","served_ps"]},"extra":{"proxy_count":%d,"egress_per_s":800,"backlog":%d,
+"envelope":4,"bootstrap":5,"pushes_allowed":30,"counted_over":1e10,"admission":"share"},"obligations":{"drain_grace":%d,"cold":1e10}}}`,
+		listen, s.catalog.Address(), s.relay.Address(), silenceProxies, silenceBacklog, silenceGrace.Nanoseconds())
+	require.NoError(s.t, os.WriteFile(file, []byte(text), 0o600))
+	c := exec.Command(binary, "pilot", "--platform")
+	c.Env = append(os.Environ(), "NODE_CONFIG="+file, "NODE_NAME=n0", "NODE_LISTEN="+listen)
+	c.Stderr, c.Stdout = &s.log, &s.log
+	require.NoError(s.t, c.Start())
+	s.t.Cleanup(func() {
+		_ = c.Process.Signal(syscall.SIGTERM)
+		_ = c.Wait()
+		if s.t.Failed() {
+			s.t.Log(s.log.String())
+		}
+	})
+}
+
+// settle waits until every proxy is on a table and the channel is empty.
+func (s *silentSite) settle() {
+	require.Eventually(s.t, func() bool {
+		waiting, _ := s.relay.Waiting()
+		return s.relay.Bound() == silenceProxies && waiting == 0
+	}, 30*time.Second, 10*time.Millisecond, "all are bound")
+}
+
+// drain has two endpoints of each zone drain, six in all, and returns their names.
+func (s *silentSite) drain(first int) (names []string) {
+	for i := range 6 {
+		names = append(names, fmt.Sprint("s-", first+i))
+	}
+	s.catalog.Set(catalog.Leaving, names...)
+	return names
+}
+
+// requireDrained waits until no proxy sends to any of the endpoints.
+func (s *silentSite) requireDrained(names []string, within time.Duration) {
+	require.Eventually(s.t, func() bool {
+		for _, name := range names {
+			if len(s.relay.Senders(name)) > 0 {
+				return false
+			}
+		}
+		return true
+	}, within, 10*time.Millisecond, "drains %v are kept within the grace", names)
+}
+
+// TestDrainsAfterASilentRelay plays incident 029 with a real process: the relay says nothing for five seconds while a call
+// that concerns all proxies is under way, and two endpoints of each zone drain a second after it answers again.
+func TestDrainsAfterASilentRelay(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "indigousher")
+	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	for name, carryOut := range map[string]func(n int) bool{
+		"calls are not carried out": func(int) bool { return false },
+		"the first is":              func(n int) bool { return n == 1 },
+		"all are":                   func(int) bool { return true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startSilentSite(t, binary)
+			s.settle()
+			s.relay.FallSilent(carryOut)
+			before := s.drain(0)
+			time.Sleep(silenceLasts)
+			s.relay.Recover()
+			returned := time.Now()
+			s.requireDrained(before, silenceGrace+silenceSlack)
+			time.Sleep(time.Until(returned.Add(time.Second)))
+			s.requireDrained(s.drain(6), silenceGrace+silenceSlack)
+			_, most := s.relay.Waiting()
+			assert.LessOrEqual(t, most, silenceBacklog, "the channel stays short")
+		})
+	}
+}
