--- a/brain/brain.go
+++ b/brain/brain.go
@@ -750,6 +750,28 @@
 	said                     map[int]float64 // when each was that has not been let in again
 	marks                    map[int]*batch
 	each                     map[int]float64 // lines written to each proxy in this flush
+	blocked                  blockage
+}
+
+// blockage is what the log says of drains that are owed while the channel has no room for them.
+type blockage struct {
+	drains int     // owed in this flush and not ordered
+	since  float64 // when the first of them was held back; 0: none is
+}
+
+// logBlocked writes down when drains begin to wait for room in the channel, and when they no longer do.
+func (c *courier) logBlocked() {
+	k := &c.blocked
+	switch {
+	case k.drains > 0 && k.since == 0:
+		k.since = math.Max(c.b.now, 1e-3)
+		c.b.say("channel full: %d drains wait, %.0f lines in flight of %.0f, %d marks unanswered, last answer %.0f ms ago",
+			k.drains, c.sure, c.b.brief.num("backlog", 1000), len(c.marks), c.b.now-c.heard)
+	case k.drains == 0 && k.since > 0:
+		c.b.say("channel has room again: drains waited %.0f ms, %.0f lines in flight", c.b.now-k.since, c.sure)
+		k.since = 0
+	}
+	k.drains = 0
 }
 
 // batch is what went out with a mark.
@@ -827,6 +849,7 @@
 	}
 	c.bindAll()
 	c.shut()
+	c.logBlocked()
 	if c.written > before {
 		maps.DeleteFunc(c.marks, func(_ int, m *batch) bool { return c.b.now-m.at > lastingMs })
 		c.marks[int(c.b.now)%markNames] = &batch{c.b.now, before, c.written - before, 0, maps.Clone(c.each)}
@@ -901,6 +924,9 @@
 		}
 		held := func(t *table) bool { return t.sent[i] > 0 && bound[t.number/len(c.b.groups)] > 0 }
 		fits := cost == 0 || c.sure+cost < c.b.brief.num("backlog", 1000) && told+c.pace() <= c.b.now
+		if due && !fits {
+			c.blocked.drains++
+		}
 		if !due || !fits || slices.ContainsFunc(c.tables, held) {
 			continue // its line goes first, at the same price
 		}
@@ -963,6 +989,9 @@
 	sort.SliceStable(order, func(i, j int) bool { return gaps[order[i]] > gaps[order[j]] })
 	for _, k := range order {
 		fits := users == 0 || c.sure+users*(written+head+1) < c.b.brief.num("backlog", 1000)
+		if !fits && c.gone(k) {
+			c.blocked.drains++
+		}
 		if lines--; !fits || lines < 0 && gaps[k] < math.MaxFloat64/2 && kept > full/2 { // not gone, nor rash
 			break // a drain that doesn't fit goes first in the next gather, within its grace
 		}
--- a/internal/platform/relay/events.go
+++ b/internal/platform/relay/events.go
@@ -227,6 +227,8 @@
 	var left []int
 	if l.open && l.standing != nil {
 		if l.gap {
+			n.log.Info("proxies told after a gap", zap.Int("stream", i), zap.Int("standing", len(l.standing)),
+				zap.Int("known", len(n.members)), zap.Bool("long", l.long))
 			for p := range n.members {
 				if !l.standing[p] {
 					left = append(left, p)
--- a/internal/platform/relay/relay.go
+++ b/internal/platform/relay/relay.go
@@ -166,6 +166,13 @@
 	return nil, ""
 }
 
+// waiting returns how many calls wait.
+func (r *Orders) waiting() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.queue)
+}
+
 // back puts a call, or what is left of it, before all others.
 func (r *Orders) back(call []op, joined bool) {
 	r.mu.Lock()
@@ -180,7 +187,9 @@
 func (r *Orders) Run(ctx context.Context) error {
 	defer r.hangUp()
 	next, stalled := pauseLeast, false
-	var since time.Time // the call under way began, or the stall was last told
+	var since time.Time  // the call under way began, or the stall was last told
+	var failed time.Time // the first call of those that failed in a row began
+	tries := 0
 	for ctx.Err() == nil {
 		call, address := r.next()
 		if call == nil {
@@ -191,11 +200,15 @@
 			continue
 		}
 		if !stalled {
-			since = time.Now()
+			since, tries = time.Now(), 0
+			failed = since
 		}
+		tries++
 		taken, err := r.call(ctx, address, call)
 		if err == nil {
 			if stalled {
+				r.log.Info("relay takes calls again", zap.Duration("after", time.Since(failed)), zap.Int("tries", tries),
+					zap.Int("orders", len(call)), zap.Int("taken", taken), zap.Int("calls waiting", r.waiting()))
 				_ = r.inbox.Post(ctx, pilot.RelayStalled{}) // fails only when all ends
 			}
 			next, stalled = pauseLeast, false
