A window that can't stay shut: repetitions are marked anew, a held-back sender probes

Repeated orders get a place of their own behind the first and a mark of their own, orders that cross as one call are one batch, and while anything owed to a rule waits without room one proxy is bound anew (a persist probe), whose answer tells all. relay.Orders asks with an empty call whether the relay answers before it says an uncertain call again: its orders cross twice at most. What an answer to a probe frees goes out at once. Marks of one millisecond no longer share a number. A stall whose call was dropped or voided ends with the next answered probe.

The scripted relay of relay_test.go answers empty calls outside its script, since the script tells of calls with orders.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -31,15 +31,16 @@
 	markNames  = 65535  // marks are numbered below this, by their time
 	longQueue  = 10.0   // a queue that counts as much as a whole load on top of a full one
 	noLimit    = 1e6    // reqs a second of a proxy that all let in
+	lateMs     = 500.0  // longest way of a message, where the settings tell of none
 )
 
 // In sets: own penalty against the zone's, reports against earlier ones, parts of a share for a trial and
-// worth a line; hold of what is gone, gap of binds; margin of latency, cost of a rank; waits for trials; load
+// worth a line; gap of binds; margin of latency, cost of a rank; waits for trials; load
 // that denies, steps, what stays; failures and load to try again at; gap that is sent, more for a table of a
 // second, fading of demand.
 const (
 	single, calm, trialPart, leastPart  = 0.4, 0.7, 0.12, 0.05
-	lastingMs, bindMs                   = 30000.0, 100.0
+	bindMs                              = 100.0
 	rankMargin, rankStep                = 1.3, 0.2
 	firstWait, longWait, waitGrowth     = 2000.0, 20000.0, 2.0
 	full, shedStep, release, leastLevel = 0.9, 0.06, 0.92, 0.1
@@ -102,8 +103,8 @@
 		b.groupKinds()
 	}
 	b.parts = b.dealtTo()
-	b.desk = &courier{b: b, proxies: map[int]*proxy{}, out: map[int]float64{}, marks: map[int]*batch{},
-		each: map[int]float64{}, said: map[int]float64{}}
+	b.desk = &courier{b: b, proxies: map[int]*proxy{}, out: map[int]float64{}, each: map[int]float64{},
+		said: map[int]float64{}}
 	b.take, b.desk.take, b.actors = b.book, b.desk.read, []*inbox{&b.inbox, &b.desk.inbox}
 	return b
 }
@@ -740,50 +741,32 @@
 
 type courier struct {
 	inbox
-	b                        *Brain
-	tables                   []*table // by number: the slot's times the groups, and the group's
-	proxies                  map[int]*proxy
-	out                      map[int]float64 // endpoints that drain or are gone, and since when
-	waiting, sure, at, stall float64         // lines that may wait yet, by batches, by answers; when; of a stall
-	heard, began             float64         // when the last answer came, and when lines began to wait
-	told, woken, written     float64         // when anything was said out; when binding goes on; lines so far
-	said                     map[int]float64 // when each was that has not been let in again
-	marks                    map[int]*batch
-	each                     map[int]float64 // lines written to each proxy in this flush
-	blocked                  blockage
-}
-
-// blockage is what the log says of drains that are owed while the channel has no room for them.
-type blockage struct {
-	drains int     // owed in this flush and not ordered
-	since  float64 // when the first of them was held back; 0: none is
-}
-
-// logBlocked writes down when drains begin to wait for room in the channel, and when they no longer do.
-func (c *courier) logBlocked() {
-	k := &c.blocked
-	switch {
-	case k.drains > 0 && k.since == 0:
-		k.since = math.Max(c.b.now, 1e-3)
-		c.b.say("channel full: %d drains wait, %.0f lines in flight of %.0f, %d marks unanswered, last answer %.0f ms ago",
-			k.drains, c.sure, c.b.brief.num("backlog", 1000), len(c.marks), c.b.now-c.heard)
-	case k.drains == 0 && k.since > 0:
-		c.b.say("channel has room again: drains waited %.0f ms, %.0f lines in flight", c.b.now-k.since, c.sure)
-		k.since = 0
-	}
-	k.drains = 0
+	b       *Brain
+	window  window
+	tables  []*table // by number: the slot's times the groups, and the group's
+	proxies map[int]*proxy
+	out     map[int]float64 // endpoints that drain or are gone, and since when
+	told    float64         // when anything was said out
+	woken   float64         // when binding goes on
+	said    map[int]float64 // when each was that has not been let in again
+	each    map[int]float64 // lines written to each proxy in this flush
+	blocked blockage
+
+	reopened bool // a probe was answered: what is owed need not wait for the next gather
 }
 
-// batch is what went out with a mark.
-type batch struct {
-	at, before, lines, left float64         // when; lines written before it; its own, and what of them has left
-	each                    map[int]float64 // lines to each proxy that hasn't answered
+// blockage is what is owed while the channel has no room for it.
+type blockage struct {
+	withdrawals int     // due in this flush and not ordered
+	since       float64 // when the first thing owed was held back; 0: nothing is
+	wake        float64 // when the next probe is due, as asked of the clock
 }
 
 type table struct {
 	sent, want   map[int]float64
 	told, levels map[int]Admit
 	solved       bool // since the last push
+	owed         int  // lines that a rule wants changed and that did not fit in the last push
 	pushed       float64
 	number       int
 }
@@ -792,6 +775,8 @@
 	Joined
 	bound, served bool    // may be on its tables, so that their lines cost; surely is
 	at            float64 // when it joined
+	answered      float64 // when it last answered a mark
+	probed        float64 // when the window was last probed with it
 }
 
 func (c *courier) read(note any) {
@@ -806,58 +791,145 @@
 		}
 	case Joined:
 		old := c.proxies[n.Proxy]
-		c.proxies[n.Proxy] = &proxy{n, n.Stood && old != nil && old.bound, false, c.b.now}
+		c.proxies[n.Proxy] = &proxy{Joined: n, bound: n.Stood && old != nil && old.bound, at: c.b.now}
 	case Left:
 		delete(c.proxies, n.Proxy)
-	case Stalled: // what was taken to leave while the channel took nothing still waits, and some goes twice
-		c.stall, c.at = n.ForMs, c.b.now+n.ForMs
-		for i, m := range c.marks {
-			c.spend(pick(slices.Contains(n.Again, i), m.lines, 0))
-		}
-	case Applied: // what was written before that mark has left the channel, and that proxy's own part
-		if m := c.marks[n.Number]; m != nil {
-			m.left += m.each[n.Proxy]
-			delete(m.each, n.Proxy)
-			c.heard, c.waiting = c.b.now, math.Min(c.waiting, c.written-m.before)
-			c.sure = math.Min(c.sure, c.written-m.before-m.left)
-			if p := c.proxies[n.Proxy]; p != nil && m.at > math.Max(p.at, c.told) {
-				p.served = p.bound // nothing but its tables' lines can have brought that mark
-			}
-		}
+	case Stalled:
+		c.stalled(n)
+	case Applied:
+		c.answered(n)
 	}
 }
 
-func (c *courier) gone(endpoint int) bool { _, out := c.out[endpoint]; return out }
+// stalled keeps the account true while orders can't cross, and marks anew what goes out again.
+func (c *courier) stalled(n Stalled) {
+	c.window.stall(c.b.now, n.ForMs)
+	c.window.join(n.Joined)
+	if mark, again := c.window.repeat(c.b.now, n.Again); again {
+		c.b.order(Mark{Number: mark})
+	}
+}
 
-func (c *courier) spend(lines float64) {
-	c.waiting, c.sure, c.written = c.waiting+lines, c.sure+lines, c.written+lines
+func (c *courier) answered(n Applied) {
+	probing := c.window.probes > 0
+	ordered, known := c.window.answer(c.b.now, n.Number, n.Proxy)
+	p := c.proxies[n.Proxy]
+	if !known || p == nil {
+		return
+	}
+	p.answered, c.reopened = c.b.now, c.reopened || probing
+	if ordered > math.Max(p.at, c.told) {
+		p.served = p.bound // nothing but its tables' lines can have brought that mark
+	}
 }
 
+func (c *courier) gone(endpoint int) bool { _, out := c.out[endpoint]; return out }
+
 func (c *courier) head() float64 { return c.b.brief.num("head_lines", 4) + 1 } // of a message, with its mark
 
 func (c *courier) flush() {
-	pace, before := c.b.brief.num("lines_per_s", 1000)/1000, c.written
-	passed := math.Min(c.b.now-c.at, pick(c.stall > 0, 0, math.MaxFloat64)) * pace / 4
-	c.waiting, c.at, c.began = math.Max(0, c.waiting-passed), c.b.now, pick(c.sure > 0, c.began, c.b.now)
-	if c.heard == 0 || c.b.now-math.Max(c.heard, c.began) > lastingMs { // nobody answers, or all have left
-		c.sure = math.Max(0, c.sure-passed)
-	}
-	turns := slices.DeleteFunc(slices.Clone(c.tables), func(t *table) bool { return !t.solved })
+	before := c.window.written
+	c.window.pass(c.b.now, c.b.brief.num("lines_per_s", 1000)/1000)
+	turns := slices.DeleteFunc(slices.Clone(c.tables), func(t *table) bool {
+		return !t.solved && !(c.reopened && t.owed > 0)
+	})
+	c.reopened = false
 	sort.SliceStable(turns, func(i, j int) bool { return turns[i].pushed < turns[j].pushed }) // oldest first
 	for _, t := range turns {
 		c.push(t)
 	}
 	c.bindAll()
 	c.shut()
-	c.logBlocked()
-	if c.written > before {
-		maps.DeleteFunc(c.marks, func(_ int, m *batch) bool { return c.b.now-m.at > lastingMs })
-		c.marks[int(c.b.now)%markNames] = &batch{c.b.now, before, c.written - before, 0, maps.Clone(c.each)}
-		clear(c.each)
-		c.b.order(Mark{Number: int(c.b.now) % markNames})
+	c.unblock(c.window.written > before)
+	if c.window.written > before {
+		c.b.order(Mark{Number: c.window.seal(c.b.now, c.each)})
+		c.each = map[int]float64{}
 	}
 }
 
+// unblock probes the window while what is owed to a rule waits for room, unless this flush brings a mark anyway, and
+// writes down when that begins and ends.
+func (c *courier) unblock(marked bool) {
+	k, owed := &c.blocked, c.blocked.withdrawals
+	for _, t := range c.tables {
+		owed += t.owed
+	}
+	k.withdrawals = 0
+	if owed == 0 {
+		if k.since > 0 {
+			c.b.say("channel has room again: %.0f ms, %.0f lines in flight", c.b.now-k.since, c.window.inFlight())
+		}
+		*k = blockage{}
+		return
+	}
+	if k.since == 0 {
+		k.since = math.Max(c.b.now, 1e-3)
+		c.b.say("channel full: %d drains wait, %.0f lines in flight of %.0f, %d marks kept, last answer %.0f ms ago",
+			owed, c.window.inFlight(), c.b.brief.num("backlog", 1000), len(c.window.batches), c.b.now-c.window.heardAt)
+	}
+	if c.window.stalled == 0 && !marked {
+		c.probe()
+	}
+}
+
+// probe binds one proxy anew to the tables it is on, once a probe is due: the smallest batch whose answer tells all.
+func (c *courier) probe() {
+	due := c.window.probeAt(2 * c.b.brief.num("late_most", lateMs))
+	if due > c.b.now {
+		if c.blocked.wake != due {
+			c.blocked.wake = due
+			c.b.order(WakeAt{due, "probe"})
+		}
+		return
+	}
+	if p := c.probeTarget(); p != nil {
+		c.b.say("channel probed with proxy %d: %.0f lines in flight, last answer %.0f ms ago", p.Proxy,
+			c.window.inFlight(), c.b.now-c.window.heardAt)
+		p.probed = c.b.now
+		c.window.probed()
+		c.bind(p)
+	}
+}
+
+// probeTarget returns the proxy that was probed least lately, of those the one that answered last; nil: there is none.
+func (c *courier) probeTarget() (target *proxy) {
+	for _, i := range slices.Sorted(maps.Keys(c.proxies)) {
+		p := c.proxies[i]
+		if lines, _ := c.cost(p); lines == 0 {
+			continue
+		}
+		if target == nil || p.probed < target.probed || p.probed == target.probed && p.answered > target.answered {
+			target = p
+		}
+	}
+	return target
+}
+
+// cost returns how many lines the tables of a proxy have, and what it costs to bind it to them.
+func (c *courier) cost(p *proxy) (lines int, cost float64) {
+	cost = c.head()
+	for _, t := range c.tablesOf(p) {
+		lines, cost = lines+len(t.sent), cost+float64(len(t.sent)+len(t.told)+1)
+	}
+	return lines, cost
+}
+
+func (c *courier) tablesOf(p *proxy) []*table {
+	first := c.b.table(c.b.slot(p.Joined), 0)
+	return c.tables[first : first+len(c.b.groups)]
+}
+
+// bind puts a proxy on its tables.
+func (c *courier) bind(p *proxy) {
+	_, cost := c.cost(p)
+	for g, t := range c.tablesOf(p) {
+		c.b.order(Bind{Table: t.number, Proxy: p.Proxy, Kinds: c.b.groups[g].mask})
+	}
+	c.window.spend(cost)
+	c.each[p.Proxy] += cost
+	p.bound, p.served = true, true
+}
+
 func (c *courier) bindAll() {
 	waits, lit, heads := maps.Clone(c.proxies), map[int]bool{}, c.head()/c.b.brief.num("lines_per_s", 1000)
 	heads *= c.b.brief.num("proxy_count", 1) / c.b.brief.num("instances", 1) / float64(len(c.b.regions))
@@ -870,27 +942,19 @@
 		return !lit[c.proxies[names[i]].Zone] && lit[c.proxies[names[j]].Zone]
 	})
 	for _, name := range names {
-		p, lines := c.proxies[name], 0
-		cost, first := c.head(), c.b.table(c.b.slot(p.Joined), 0)
-		for _, t := range c.tables[first : first+len(c.b.groups)] {
-			lines, cost = lines+len(t.sent), cost+float64(len(t.sent)+len(t.told)+1)
-		}
+		p := c.proxies[name]
+		lines, cost := c.cost(p)
 		if lines == 0 || c.b.regions[p.Zone].amiss < heavy*math.Min(1, heads) { // heads: s of the channel
 			continue // what it stands with is better than nothing, or as good
 		}
-		if c.waiting > 0 && c.waiting+cost > 0.3*c.b.brief.num("backlog", 1000) {
+		if waiting := c.window.estimate; waiting > 0 && waiting+cost > 0.3*c.b.brief.num("backlog", 1000) {
 			if c.woken <= c.b.now {
 				c.woken = c.b.now + bindMs
 				c.b.order(WakeAt{c.woken, "bind"})
 			}
 			return
 		}
-		for g, group := range c.b.groups {
-			c.b.order(Bind{Table: first + g, Proxy: p.Proxy, Kinds: group.mask})
-		}
-		c.spend(cost)
-		c.each[name] += cost
-		p.bound, p.served = true, true
+		c.bind(p)
 	}
 }
 
@@ -923,15 +987,18 @@
 			due = due || lines(p) > 0 && from > c.said[i] && from < c.out[i]+lastingMs && c.b.now >= from+half
 		}
 		held := func(t *table) bool { return t.sent[i] > 0 && bound[t.number/len(c.b.groups)] > 0 }
-		fits := cost == 0 || c.sure+cost < c.b.brief.num("backlog", 1000) && told+c.pace() <= c.b.now
-		if due && !fits {
-			c.blocked.drains++
-		}
-		if !due || !fits || slices.ContainsFunc(c.tables, held) {
+		if !due || slices.ContainsFunc(c.tables, held) {
 			continue // its line goes first, at the same price
 		}
+		if cost > 0 && told+c.pace() > c.b.now {
+			continue
+		}
+		if cost > 0 && c.window.inFlight()+cost >= c.b.brief.num("backlog", 1000) {
+			c.blocked.withdrawals++
+			continue
+		}
 		c.b.order(Withdraw{i, true})
-		c.spend(cost)
+		c.window.spend(cost)
 		for _, p := range waits {
 			c.each[p.Proxy] += lines(p)
 		}
@@ -956,12 +1023,12 @@
 		ours := c.b.slot(p.Joined) == slot
 		joined, users = joined || ours, users+pick(ours && p.bound, 1, 0)
 	}
-	if !joined {
+	if t.owed = 0; !joined {
 		return
 	}
 	t.solved = false
 	head, written := c.head(), 0.0
-	lines := (c.b.brief.num("backlog", 1000)/3-c.waiting)/math.Max(users, 1e-9) - head
+	lines := (c.b.brief.num("backlog", 1000)/3-c.window.estimate)/math.Max(users, 1e-9) - head
 	lines = pick(users > 0 && t.pushed+c.pace() > c.b.now, 0, lines)
 	for _, k := range slices.Sorted(maps.Keys(t.levels)) {
 		if lines >= 1 && t.told[k] != t.levels[k] {
@@ -988,12 +1055,13 @@
 	order := slices.Sorted(maps.Keys(gaps))
 	sort.SliceStable(order, func(i, j int) bool { return gaps[order[i]] > gaps[order[j]] })
 	for _, k := range order {
-		fits := users == 0 || c.sure+users*(written+head+1) < c.b.brief.num("backlog", 1000)
-		if !fits && c.gone(k) {
-			c.blocked.drains++
+		fits := users == 0 || c.window.inFlight()+users*(written+head+1) < c.b.brief.num("backlog", 1000)
+		if !fits && gaps[k] >= math.MaxFloat64/2 {
+			t.owed++ // a drain, or one that has started again: goes out as soon as there is room
+			continue
 		}
 		if lines--; !fits || lines < 0 && gaps[k] < math.MaxFloat64/2 && kept > full/2 { // not gone, nor rash
-			break // a drain that doesn't fit goes first in the next gather, within its grace
+			break
 		}
 		kept += pick(c.gone(k), 0, t.want[k]-t.sent[k])
 		t.sent[k], written = t.want[k], written+1
@@ -1004,5 +1072,5 @@
 	for _, p := range c.proxies {
 		c.each[p.Proxy] += pick(written > 0 && c.b.slot(p.Joined) == slot && p.bound, written+head, 0)
 	}
-	c.spend(pick(written > 0, users*(written+head), 0))
+	c.window.spend(pick(written > 0, users*(written+head), 0))
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -666,9 +666,9 @@
 			p.gather(4, func() []Note { return tries(0, 20, 0, 0.4, 0, 1, 2, 3) })
 			require.Len(t, p.bound[0], 1)
 			c.again.Rate = 20
-			p.b.desk.waiting = p.b.brief.num("backlog", 0) / 3 // no room to bind anew at once
+			p.b.desk.window.estimate = p.b.brief.num("backlog", 0) / 3 // no room to bind anew at once
 			p.step(c.again)
-			p.b.desk.waiting = p.b.brief.num("backlog", 0) / 3
+			p.b.desk.window.estimate = p.b.brief.num("backlog", 0) / 3
 			assert.Equal(t, c.mayCount, p.b.desk.proxies[0].bound, "its lines cost")
 			p.now += 100
 			marks, orders := []int{}, p.step(append(c.between, Listing{Entries: []Entry{{Endpoint: 0, Zone: 0, Weight: 9}}})...)
@@ -705,7 +705,7 @@
 			p := pilot(t, nil)
 			p.now = 50000
 			p.step()
-			full := func() { p.b.desk.waiting, p.b.desk.sure = 1400, 0 } // no room for a table
+			full := func() { p.b.desk.window.estimate, p.b.desk.window.left = 1400, p.b.desk.window.written } // no room for a table
 			full()
 			p.step(Joined{Proxy: 0, Zone: 0, Rate: 20}, Listing{Entries: []Entry{{Endpoint: 0, Zone: 0, Weight: 2, Phase: Gone}}})
 			p.now += 1000
@@ -713,13 +713,13 @@
 			require.Contains(t, p.step(Alarm{"bind"}), Withdraw{0, true}, "halfway through the grace")
 			p.now += 100
 			if full(); !c.waits {
-				p.b.desk.waiting = 0
+				p.b.desk.window.estimate = 0
 			}
 			p.step()
 			full()
 			orders := p.step(Listing{Entries: []Entry{{Endpoint: 0, Zone: 0, Weight: 2, Started: p.now - c.age}}})
 			assert.Equal(t, c.letsIn, slices.Contains(orders, Order(Withdraw{0, false})))
-			p.b.desk.waiting = 0
+			p.b.desk.window.estimate = 0
 			p.gather(2, nil)
 			assert.False(t, p.out[0], "it is let in in the end")
 		})
--- a/brain/port.go
+++ b/brain/port.go
@@ -121,10 +121,11 @@
 }
 
 // Stalled reports that the channel has taken no orders for so long, or, with 0, that it takes them again. Orders made
-// meanwhile wait before it. Again names the marks of those that may cross it twice.
+// meanwhile wait before it and may go out as one.
 type Stalled struct {
-	ForMs float64
-	Again []int
+	ForMs  float64
+	Again  []int // marks of orders that were one call, which may have crossed and goes out again
+	Joined []int // marks of orders that crossed as one call, under the newest of them
 }
 
 // Order is something the pilot does; one of the types below.
--- a/internal/pilot/relayed.go
+++ b/internal/pilot/relayed.go
@@ -36,11 +36,11 @@
 	TookMs      float64
 }
 
-// RelayStalled says that the relay has taken no orders for so long, or, with 0, that it takes them again, and which
-// marks stand among orders that may have been carried out and are said again.
+// RelayStalled says that the relay has taken no orders for so long, or, with 0, that it takes them again. Again names the
+// marks of a call that may have been carried out and is said again, Joined those of a call that was.
 type RelayStalled struct {
-	ForMs float64
-	Again []int
+	ForMs         float64
+	Again, Joined []int
 }
 
 // ZoneMet is a line of what the proxies of a zone met, summed up elsewhere.
@@ -71,7 +71,7 @@
 			return append(notes, brain.Applied{Proxy: in.Proxy, Number: in.Mark, TookMs: in.TookMs})
 		}
 	case RelayStalled:
-		return append(notes, brain.Stalled{ForMs: in.ForMs, Again: in.Again})
+		return append(notes, brain.Stalled{ForMs: in.ForMs, Again: in.Again, Joined: in.Joined})
 	case ZoneMet:
 		zone, known := c.zones.Find(in.Zone)
 		endpoint, listed := c.endpoints.Find(in.Endpoint)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -156,7 +156,7 @@
 		zap.Float64("report covers ms", s.Believed.SpanMs/float64(max(1, s.Believed.Reports))),
 		zap.Int64("orders", c.Made.Load()), zap.Int64("taken", c.Taken.Load()), zap.Int64("outdated", c.Outdated.Load()),
 		zap.Int64("dropped", c.Dropped.Load()), zap.Int64("uncertain", c.Uncertain.Load()),
-		zap.Int64("calls", c.Calls.Load()), zap.Int64("failed", c.Failed.Load()),
+		zap.Int64("calls", c.Calls.Load()), zap.Int64("failed", c.Failed.Load()), zap.Int64("probes", c.Probes.Load()),
 		zap.Int64("events", c.Events.Load()), zap.Int64("gaps", c.Gaps.Load()),
 		zap.Int64("reports", d.Reports.Load()), zap.Int64("spoilt", d.Spoilt.Load()),
 		zap.Int64("accepted", d.Accepted.Load()), zap.Int64("refused", d.Refused.Load()),
--- a/internal/platform/relay/relay.go
+++ b/internal/platform/relay/relay.go
@@ -44,14 +44,15 @@
 var (
 	errNotSent   = errors.New("not carried out")
 	errUncertain = errors.New("carried out or not")
+	errSilent    = fmt.Errorf("%w", errUncertain) // and nothing shows that the relay answers at all
 	errLimit     = errors.New("the run has not begun")
 	errRefused   = errors.New("refused")
 )
 
 // Counters of orders, for the pilot's book-keeping.
 type Counters struct {
-	Made, Taken, Outdated, Dropped, Uncertain, Calls, Failed atomic.Int64
-	Events, Gaps                                             atomic.Int64
+	Made, Taken, Outdated, Dropped, Uncertain, Calls, Failed, Probes atomic.Int64
+	Events, Gaps                                                     atomic.Int64
 }
 
 // dialer opens connections to the relay.
@@ -152,11 +153,14 @@
 	r.queue = split(kept)
 }
 
-// next takes the oldest call out.
-func (r *Orders) next() (call []op, address string) {
+// next takes the oldest call out; joined, one of all that waits.
+func (r *Orders) next(joined bool) (call []op, address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.left = r.left[:0]
+	if joined {
+		r.join()
+	}
 	for len(r.queue) > 0 {
 		call, r.queue = r.queue[0], r.queue[1:]
 		if len(call) > 0 {
@@ -166,13 +170,6 @@
 	return nil, ""
 }
 
-// waiting returns how many calls wait.
-func (r *Orders) waiting() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.queue)
-}
-
 // back puts a call, or what is left of it, before all others.
 func (r *Orders) back(call []op, joined bool) {
 	r.mu.Lock()
@@ -183,75 +180,127 @@
 	}
 }
 
-// Run makes calls until ctx ends.
+// outage is a time in which the relay takes no calls, from the first that failed.
+type outage struct {
+	since time.Time     // the first call that failed began
+	told  time.Time     // until when the module has been told of it; zero: there is no outage
+	tries int           // calls and probes that failed
+	pause time.Duration // after the next failure
+}
+
+func (o *outage) lasts() bool { return !o.told.IsZero() }
+
+// Run makes calls until ctx ends. After one that failed an empty call, which costs the proxies nothing, finds out whether
+// the relay answers: so a call is uncertain once in an outage, however long it is, and its orders cross twice at most.
 func (r *Orders) Run(ctx context.Context) error {
 	defer r.hangUp()
-	next, stalled := pauseLeast, false
-	var since time.Time  // the call under way began, or the stall was last told
-	var failed time.Time // the first call of those that failed in a row began
-	tries := 0
+	out := outage{pause: pauseLeast}
 	for ctx.Err() == nil {
-		call, address := r.next()
+		if out.lasts() && !r.reached(ctx, &out) {
+			continue
+		}
+		call, address := r.next(out.lasts())
 		if call == nil {
+			r.over(ctx, &out, nil)
 			select {
 			case <-r.wake:
 			case <-ctx.Done():
 			}
 			continue
 		}
-		if !stalled {
-			since, tries = time.Now(), 0
-			failed = since
-		}
-		tries++
+		began := time.Now()
 		taken, err := r.call(ctx, address, call)
-		if err == nil {
-			if stalled {
-				r.log.Info("relay takes calls again", zap.Duration("after", time.Since(failed)), zap.Int("tries", tries),
-					zap.Int("orders", len(call)), zap.Int("taken", taken), zap.Int("calls waiting", r.waiting()))
-				_ = r.inbox.Post(ctx, pilot.RelayStalled{}) // fails only when all ends
-			}
-			next, stalled = pauseLeast, false
-			r.took(call, taken)
+		if err != nil {
+			r.failed(ctx, &out, began, call, err)
 			continue
 		}
-		r.Counters.Failed.Add(1)
-		r.hangUp()
-		wait := next
-		next = min(2*next, pauseMost)
-		switch {
-		case errors.Is(err, errLimit):
-			wait, next = limitPause, pauseLeast
-		case errors.Is(err, errUncertain):
-			r.Counters.Uncertain.Add(int64(len(call)))
-			r.log.Warn("call uncertain, said again", zap.Int("orders", len(call)), zap.Error(err))
-		case errors.Is(err, errRefused):
-			if r.refused++; r.refused >= mostRefuse {
-				r.log.Error("call dropped", zap.Int("orders", len(call)), zap.Error(err))
-				r.Counters.Dropped.Add(int64(len(call)))
-				r.refused, call = 0, nil
-			}
-		default:
-			r.log.Warn("call failed", zap.Int("orders", len(call)), zap.Error(err))
-		}
-		_ = r.inbox.Post(ctx, stall(time.Since(since), call, err))
-		since, stalled = time.Now(), true
-		r.back(call, true)
-		pause.For(ctx, wait)
+		r.over(ctx, &out, call)
+		r.took(call, taken)
 	}
 	return nil
 }
 
-// stall says that the relay has taken nothing for a while, and what may reach the proxies twice. Lines that wait here
-// have not left: were they taken for gone, all that was ordered meanwhile would overfill the relay's channel at once.
-func stall(lasted time.Duration, call []op, err error) pilot.RelayStalled {
-	in := pilot.RelayStalled{ForMs: max(1, float64(lasted)/float64(time.Millisecond))}
-	if errors.Is(err, errUncertain) {
-		for _, o := range call {
-			in.Again = append(in.Again, o.marks...)
+// reached makes an empty call in an outage and returns whether the relay says anything to it.
+func (r *Orders) reached(ctx context.Context, out *outage) bool {
+	r.mu.Lock()
+	address := r.address
+	r.mu.Unlock()
+	r.Counters.Probes.Add(1)
+	body, _, err := r.exchange(ctx, address, nil)
+	if err == nil {
+		_, err = parse(body, 0)
+	}
+	if !errors.Is(err, errNotSent) && !errors.Is(err, errSilent) && !errors.Is(err, errLimit) {
+		return true
+	}
+	r.log.Debug("relay out of reach", zap.Int("tries", out.tries), zap.Error(err))
+	r.back(nil, true)
+	r.wait(ctx, out, time.Now(), nil, err)
+	return false
+}
+
+// failed puts a call back that failed and notes the outage.
+func (r *Orders) failed(ctx context.Context, out *outage, began time.Time, call []op, err error) {
+	r.Counters.Failed.Add(1)
+	var again []int
+	switch {
+	case errors.Is(err, errLimit):
+	case errors.Is(err, errUncertain):
+		r.Counters.Uncertain.Add(int64(len(call)))
+		again = marks(call)
+		r.log.Warn("call uncertain, said again", zap.Int("orders", len(call)), zap.Ints("marks", again), zap.Error(err))
+	case errors.Is(err, errRefused):
+		if r.refused++; r.refused >= mostRefuse {
+			r.log.Error("call dropped", zap.Int("orders", len(call)), zap.Error(err))
+			r.Counters.Dropped.Add(int64(len(call)))
+			r.refused, call = 0, nil
 		}
+	default:
+		r.log.Warn("call failed", zap.Int("orders", len(call)), zap.Error(err))
 	}
-	return in
+	r.back(call, true)
+	r.wait(ctx, out, began, again, err)
+}
+
+// wait tells the module how long nothing has been taken, and pauses. Lines that wait here have not left: were they taken
+// for gone, all that was ordered meanwhile would overfill the relay's channel at once.
+func (r *Orders) wait(ctx context.Context, out *outage, began time.Time, again []int, err error) {
+	r.hangUp()
+	if !out.lasts() {
+		out.since, out.told = began, began
+	}
+	out.tries++
+	now := time.Now()
+	lasted := max(1, float64(now.Sub(out.told))/float64(time.Millisecond))
+	out.told = now
+	_ = r.inbox.Post(ctx, pilot.RelayStalled{ForMs: lasted, Again: again}) // fails only when all ends
+	pauseNow := out.pause
+	out.pause = min(2*out.pause, pauseMost)
+	if errors.Is(err, errLimit) {
+		pauseNow, out.pause = limitPause, pauseLeast
+	}
+	pause.For(ctx, pauseNow)
+}
+
+// over tells the module that the relay takes orders, if it did not or if it has joined some that were ordered apart.
+func (r *Orders) over(ctx context.Context, out *outage, call []op) {
+	joined := marks(call)
+	if out.lasts() {
+		r.log.Info("relay takes calls again", zap.Duration("after", time.Since(out.since)), zap.Int("tries", out.tries),
+			zap.Int("orders", len(call)), zap.Ints("marks", joined))
+	}
+	if out.lasts() || len(joined) > 1 {
+		_ = r.inbox.Post(ctx, pilot.RelayStalled{Joined: joined}) // fails only when all ends
+	}
+	*out = outage{pause: pauseLeast}
+}
+
+// marks returns the marks that a call sets, with those that they have outdated.
+func marks(call []op) (numbers []int) {
+	for _, o := range call {
+		numbers = append(numbers, o.marks...)
+	}
+	return numbers
 }
 
 // took counts what the relay took. The order it halted at is tried once more, in case the answer was wrong, and dropped
@@ -285,25 +334,52 @@
 // call makes one call and returns how many orders were taken.
 func (r *Orders) call(ctx context.Context, address string, call []op) (taken int, err error) {
 	r.Counters.Calls.Add(1)
+	body, last, err := r.exchange(ctx, address, call)
+	if err != nil {
+		return 0, err
+	}
+	taken, err = parse(body, len(call))
+	if last && err == nil {
+		r.hangUp()
+	}
+	return taken, err
+}
+
+// exchange sends a call and returns what the relay says to it.
+func (r *Orders) exchange(ctx context.Context, address string, call []op) (body []byte, last bool, err error) {
 	if r.conn != nil && (r.to != address || time.Since(r.used) > idleMost || peek.At(r.conn) != peek.Quiet) {
 		r.hangUp()
 	}
 	if r.conn == nil {
 		conn, err := dialer.DialContext(ctx, "tcp", address)
 		if err != nil {
-			return 0, fmt.Errorf("%w: dial relay: %w", errNotSent, err)
+			return nil, false, fmt.Errorf("%w: dial relay: %w", errNotSent, err)
 		}
 		r.conn, r.to, r.reader = conn, address, bufio.NewReaderSize(conn, 1024)
 	}
 	if err := r.conn.SetDeadline(time.Now().Add(patience)); err != nil {
-		return 0, fmt.Errorf("%w: set deadline: %w", errNotSent, err)
+		return nil, false, fmt.Errorf("%w: set deadline: %w", errNotSent, err)
 	}
 	if _, err := r.conn.Write(request(address, call)); err != nil { // the last byte has not left
-		return 0, fmt.Errorf("%w: write call: %w", errNotSent, err)
+		return nil, false, fmt.Errorf("%w: write call: %w", errNotSent, err)
 	}
-	taken, err = r.answer(len(call))
+	body, last, err = r.read()
 	r.used = time.Now()
-	return taken, err
+	return body, last, err
+}
+
+// read reads an answer whole.
+func (r *Orders) read() (body []byte, last bool, err error) {
+	resp, err := http.ReadResponse(r.reader, nil)
+	if err != nil {
+		return nil, false, fmt.Errorf("%w: read answer: %w", errSilent, err)
+	}
+	defer resp.Body.Close()
+	body, err = io.ReadAll(io.LimitReader(resp.Body, mostBody))
+	if err != nil {
+		return nil, false, fmt.Errorf("%w: read answer: %w", errSilent, err)
+	}
+	return body, resp.Close, nil
 }
 
 // request lays a call out.
@@ -322,17 +398,8 @@
 	return append([]byte(head), body.Bytes()...)
 }
 
-// answer reads what the relay says of a call. Whatever can't be read or can't be leaves it uncertain.
-func (r *Orders) answer(orders int) (taken int, err error) {
-	resp, err := http.ReadResponse(r.reader, nil)
-	if err != nil {
-		return 0, fmt.Errorf("%w: read answer: %w", errUncertain, err)
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, mostBody))
-	if err != nil {
-		return 0, fmt.Errorf("%w: read answer: %w", errUncertain, err)
-	}
+// parse returns what an answer says of a call. Whatever can't be read or can't be leaves it uncertain.
+func parse(body []byte, orders int) (taken int, err error) {
 	var a struct {
 		Count *int    `json:"ok_count"`
 		Error *string `json:"error"`
@@ -348,8 +415,5 @@
 	case a.Count == nil || *a.Count < 0 || *a.Count > orders:
 		return 0, fmt.Errorf("%w: no possible count in the answer", errUncertain)
 	}
-	if resp.Close {
-		r.hangUp()
-	}
 	return *a.Count, nil
 }
--- a/internal/platform/relay/relay_test.go
+++ b/internal/platform/relay/relay_test.go
@@ -93,6 +93,10 @@
 	if !assert.NoError(s.t, json.Unmarshal(body, &call)) {
 		return false
 	}
+	if len(call.Ops) == 0 { // a probe: the script tells of calls that carry orders
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"ok_count\":0}")
+		return err == nil
+	}
 	s.mu.Lock()
 	step, halt := "ok", len(call.Ops)
 	if s.calls < len(s.steps) {
