The window in all orders: late marks, joined calls told before they go out

Calls joined in a stall are told to the module before they go out, as a proxy's answer may come first. TestStalls expects the notes on joined calls too. TestUncertainOnce, TestAStallEnds: one try and one repetition in a silence, and a stall whose call is void ends.

--- a/brain/port.go
+++ b/brain/port.go
@@ -125,7 +125,7 @@
 type Stalled struct {
 	ForMs  float64
 	Again  []int // marks of orders that were one call, which may have crossed and goes out again
-	Joined []int // marks of orders that crossed as one call, under the newest of them
+	Joined []int // marks of orders that go out as one call, under the newest of them
 }
 
 // Order is something the pilot does; one of the types below.
--- a/brain/window.go
+++ b/brain/window.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 )
 
 // Figures of the window.
@@ -24,7 +25,7 @@
 	estimate  float64        // lines that wait, by batches and by the told pace: for what can be put off
 	sealed    float64        // position behind the last line that a mark follows
 	batches   map[int]*batch // by mark
-	lastMark  int
+	lastMark  int            // before it was cut to markNames
 	reckoned  float64 // until when passing time is reckoned in
 	stalled   float64 // how long the channel took nothing, as last told; 0: it takes orders
 	heardAt   float64 // when the last answer came; 0: none has
@@ -43,7 +44,8 @@
 	left     float64         // how many of them are known to have left
 	each     map[int]float64 // lines to each proxy
 	answered map[int]bool    // proxies that have
-	repeated bool            // it goes out again, under a later mark
+	repeated bool            // it goes out again,
+	again    int             // under this mark
 }
 
 // inFlight returns how many lines may wait in the channel at most.
@@ -85,12 +87,10 @@
 	if w.batches == nil {
 		w.batches = map[int]*batch{}
 	}
-	mark = int(now) % markNames
-	for w.batches[mark] != nil {
-		mark = (mark + 1) % markNames
-	}
+	w.lastMark = max(int(now), w.lastMark+1)
+	mark = w.lastMark % markNames
 	m.sealed, m.answered = now, map[int]bool{}
-	w.batches[mark], w.lastMark, w.sealedAt = m, mark, now
+	w.batches[mark], w.sealedAt = m, now
 	return mark
 }
 
@@ -117,31 +117,41 @@
 	w.stalled, w.reckoned = forMs, now+forMs
 }
 
-// join makes one batch of those that cross as one call, under the newest mark, as each proxy gets one message of all. It
-// returns the mark that stands for them; known is false where none is known.
-func (w *window) join(marks []int) (mark int, known bool) {
-	var newest *batch
+// join makes one batch of those that go out as one call, under the newest mark, as each proxy gets one message of all.
+func (w *window) join(marks []int) {
+	parts := w.pending(marks)
+	newest := -1
 	for _, number := range marks {
-		m := w.batches[number]
-		if m == nil || newest != nil && (m.repeated && !newest.repeated) {
-			continue
-		}
-		if newest == nil || newest.repeated && !m.repeated || m.before > newest.before {
-			mark, newest = number, m
+		if m := parts[number]; m != nil && (newest < 0 || m.before > parts[newest].before) {
+			newest = number
 		}
 	}
-	if newest == nil || newest.repeated {
-		return mark, newest != nil
+	if newest < 0 {
+		return // it goes out under an older mark, whose answers are taken to be to the first time
 	}
+	for _, number := range slices.Sorted(maps.Keys(parts)) {
+		if number != newest {
+			parts[newest].absorb(parts[number])
+			delete(w.batches, number)
+		}
+	}
+}
+
+// pending returns by mark what a call with some marks brings. Of what goes out again that is the last repetition, also if
+// its own mark comes too late for the call.
+func (w *window) pending(marks []int) map[int]*batch {
+	parts := map[int]*batch{}
 	for _, number := range marks {
 		m := w.batches[number]
-		if m == nil || m == newest || m.repeated {
-			continue
+		for m != nil && m.repeated {
+			number = m.again
+			m = w.batches[number]
+		}
+		if m != nil {
+			parts[number] = m
 		}
-		newest.absorb(m)
-		delete(w.batches, number)
 	}
-	return mark, true
+	return parts
 }
 
 // absorb takes in an older batch that goes out in the same call.
@@ -158,11 +168,16 @@
 // repeat notes that a call may have crossed and goes out again: its lines count once more, behind the first time and
 // before all that is newer. Its new mark tells the two apart; ok is false where nothing is known of the call.
 func (w *window) repeat(now float64, marks []int) (mark int, ok bool) {
-	number, known := w.join(marks)
-	if !known {
+	w.join(marks)
+	var first *batch
+	for _, m := range w.pending(marks) {
+		if first == nil || m.before > first.before {
+			first = m
+		}
+	}
+	if first == nil {
 		return 0, false
 	}
-	first := w.batches[number]
 	at := first.before + first.lines
 	for _, m := range w.batches {
 		if m != first && m.before >= at {
@@ -171,9 +186,9 @@
 	}
 	w.spend(first.lines)
 	w.sealed += first.lines
-	first.repeated = true
-	again := &batch{ordered: first.ordered, before: at, lines: first.lines, each: first.each}
-	return w.add(now, again), true
+	mark = w.add(now, &batch{ordered: first.ordered, before: at, lines: first.lines, each: first.each})
+	first.repeated, first.again = true, mark
+	return mark, true
 }
 
 // probeAt returns when a sender that the count holds back should put a small batch into the channel all the same, as
--- a/internal/pilot/relayed.go
+++ b/internal/pilot/relayed.go
@@ -37,7 +37,7 @@
 }
 
 // RelayStalled says that the relay has taken no orders for so long, or, with 0, that it takes them again. Again names the
-// marks of a call that may have been carried out and is said again, Joined those of a call that was.
+// marks of a call that may have been carried out and is said again, Joined those of orders that go out as one call now.
 type RelayStalled struct {
 	ForMs         float64
 	Again, Joined []int
--- a/internal/platform/relay/events_test.go
+++ b/internal/platform/relay/events_test.go
@@ -31,7 +31,11 @@
 	case pilot.Unrelayed:
 		b.got = append(b.got, fmt.Sprint("left ", in.Proxy))
 	case pilot.RelayStalled:
-		b.got = append(b.got, fmt.Sprint("stalled ", in.ForMs > 0, " ", in.Again))
+		text := fmt.Sprint("stalled ", in.ForMs > 0, " ", in.Again)
+		if len(in.Joined) > 0 {
+			text += fmt.Sprint(" joined ", in.Joined)
+		}
+		b.got = append(b.got, text)
 	case pilot.RelayApplied:
 		b.got = append(b.got, fmt.Sprint("applied ", in.Proxy, " ", in.Mark))
 	}
--- a/internal/platform/relay/relay.go
+++ b/internal/platform/relay/relay.go
@@ -190,6 +190,14 @@
 
 func (o *outage) lasts() bool { return !o.told.IsZero() }
 
+// lasted returns the milliseconds since the module was last told, more than 0.
+func (o *outage) lasted() float64 {
+	now := time.Now()
+	lasted := max(1, float64(now.Sub(o.told))/float64(time.Millisecond))
+	o.told = now
+	return lasted
+}
+
 // Run makes calls until ctx ends. After one that failed an empty call, which costs the proxies nothing, finds out whether
 // the relay answers: so a call is uncertain once in an outage, however long it is, and its orders cross twice at most.
 func (r *Orders) Run(ctx context.Context) error {
@@ -209,6 +217,7 @@
 			continue
 		}
 		began := time.Now()
+		r.tellJoined(ctx, &out, call)
 		taken, err := r.call(ctx, address, call)
 		if err != nil {
 			r.failed(ctx, &out, began, call, err)
@@ -270,10 +279,7 @@
 		out.since, out.told = began, began
 	}
 	out.tries++
-	now := time.Now()
-	lasted := max(1, float64(now.Sub(out.told))/float64(time.Millisecond))
-	out.told = now
-	_ = r.inbox.Post(ctx, pilot.RelayStalled{ForMs: lasted, Again: again}) // fails only when all ends
+	_ = r.inbox.Post(ctx, pilot.RelayStalled{ForMs: out.lasted(), Again: again}) // fails only when all ends
 	pauseNow := out.pause
 	out.pause = min(2*out.pause, pauseMost)
 	if errors.Is(err, errLimit) {
@@ -282,15 +288,25 @@
 	pause.For(ctx, pauseNow)
 }
 
-// over tells the module that the relay takes orders, if it did not or if it has joined some that were ordered apart.
-func (r *Orders) over(ctx context.Context, out *outage, call []op) {
+// tellJoined tells the module which of its orders go out as one call. It has to know before a proxy can answer.
+func (r *Orders) tellJoined(ctx context.Context, out *outage, call []op) {
 	joined := marks(call)
+	if len(joined) < 2 {
+		return
+	}
+	in := pilot.RelayStalled{Joined: joined}
 	if out.lasts() {
-		r.log.Info("relay takes calls again", zap.Duration("after", time.Since(out.since)), zap.Int("tries", out.tries),
-			zap.Int("orders", len(call)), zap.Ints("marks", joined))
+		in.ForMs = out.lasted()
 	}
-	if out.lasts() || len(joined) > 1 {
-		_ = r.inbox.Post(ctx, pilot.RelayStalled{Joined: joined}) // fails only when all ends
+	_ = r.inbox.Post(ctx, in) // fails only when all ends
+}
+
+// over tells the module that the relay takes orders again, if it did not.
+func (r *Orders) over(ctx context.Context, out *outage, call []op) {
+	if out.lasts() {
+		r.log.Info("relay takes calls again", zap.Duration("after", time.Since(out.since)), zap.Int("tries", out.tries),
+			zap.Int("orders", len(call)), zap.Ints("marks", marks(call)))
+		_ = r.inbox.Post(ctx, pilot.RelayStalled{}) // fails only when all ends
 	}
 	*out = outage{pause: pauseLeast}
 }
--- a/internal/platform/relay/relay_test.go
+++ b/internal/platform/relay/relay_test.go
@@ -214,16 +214,20 @@
 }
 
 // TestStalls guards the module's count of the channel: it has to hear that nothing is taken, that it is again, and which
-// marks stand among what may cross twice, those of calls that were joined meanwhile included.
+// marks stand among what may cross twice, those of calls that were joined meanwhile included. Before such a call goes out it
+// hears which marks it has.
 func TestStalls(t *testing.T) {
+	const joined = "stalled true [] joined [6 5]"
 	for name, c := range map[string]struct {
 		steps []string
 		want  []string
 	}{
-		"answered":       {nil, []string{}},
-		"broken":         {[]string{"broken"}, []string{"stalled true [5]", "stalled false []"}},
-		"lost twice":     {[]string{"lost", "lost"}, []string{"stalled true [5]", "stalled true [6 5]", "stalled false []"}},
-		"before the run": {[]string{"limit", "limit"}, []string{"stalled true []", "stalled true []", "stalled false []"}},
+		"answered": {nil, []string{}},
+		"broken":   {[]string{"broken"}, []string{"stalled true [5]", joined, "stalled false []"}},
+		"lost twice": {[]string{"lost", "lost"}, []string{"stalled true [5]", joined, "stalled true [6 5]", joined,
+			"stalled false []"}},
+		"before the run": {[]string{"limit", "limit"}, []string{"stalled true []", joined, "stalled true []", joined,
+			"stalled false []"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -321,3 +325,90 @@
 	assert.Zero(t, r.Counters.Failed.Load())
 	assert.EqualValues(t, 5, r.Counters.Taken.Load())
 }
+
+// silentFor answers nothing, probes included, until it is opened. It counts the calls with orders that it reads before and after.
+func silentFor(t *testing.T) (address string, calls func() (silent, answered int), open func()) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var mu sync.Mutex
+	silent, answered, opened := 0, 0, false
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			var call struct{ Ops []map[string]any }
+			if json.NewDecoder(req.Body).Decode(&call) != nil {
+				return
+			}
+			mu.Lock()
+			if len(call.Ops) > 0 && opened {
+				answered++
+			} else if len(call.Ops) > 0 {
+				silent++
+			}
+			says := opened
+			mu.Unlock()
+			if !says {
+				continue
+			}
+			body := fmt.Sprintf(`{"ok_count":%d}`, len(call.Ops))
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().String(), func() (int, int) { mu.Lock(); defer mu.Unlock(); return silent, answered },
+		func() { mu.Lock(); defer mu.Unlock(); opened = true }
+}
+
+// TestUncertainOnce guards the proxies' channel in a long silence (incident 029): a call is tried once and said again once,
+// whatever waits has become one call by then, and the module is told which marks that call has.
+func TestUncertainOnce(t *testing.T) {
+	address, calls, open := silentFor(t)
+	b := &inbox{}
+	r := NewOrders(address, nil, b, &Counters{}, zap.NewNop())
+	run(t, r)
+	r.Carry([]brain.Order{brain.SetLine{Table: 1, Endpoint: 1, Weight: 2}, brain.Mark{Number: 5}}, endpoint)
+	require.Eventually(t, func() bool { return r.Counters.Probes.Load() >= 3 }, 10*time.Second, time.Millisecond)
+	for mark := 6; mark < 9; mark++ {
+		r.Carry([]brain.Order{brain.SetLine{Table: mark, Endpoint: 1, Weight: 2}, brain.Mark{Number: mark}}, endpoint)
+	}
+	require.Eventually(t, func() bool { return r.Counters.Probes.Load() >= 5 }, 10*time.Second, time.Millisecond)
+	open()
+	require.Eventually(t, func() bool { return r.Counters.Taken.Load() > 0 }, 10*time.Second, time.Millisecond)
+	silent, answered := calls()
+	assert.Equal(t, 1, silent, "only probes went out while nothing was said")
+	assert.Equal(t, 1, answered)
+	notes := b.all()
+	assert.Equal(t, "stalled true [5]", notes[0])
+	assert.Equal(t, []string{"stalled true [] joined [8 7 6 5]", "stalled false []"}, notes[len(notes)-2:])
+}
+
+// TestAStallEnds guards against a stall whose call no longer exists: the module would wait for its end for good.
+func TestAStallEnds(t *testing.T) {
+	address, _, open := silentFor(t)
+	b := &inbox{}
+	r := NewOrders(address, nil, b, &Counters{}, zap.NewNop())
+	run(t, r)
+	r.Carry([]brain.Order{brain.Bind{Table: 1, Proxy: 3}}, endpoint)
+	require.Eventually(t, func() bool { return r.Counters.Probes.Load() >= 1 }, 10*time.Second, time.Millisecond)
+	r.Gone(3)
+	open()
+	require.Eventually(t, func() bool {
+		notes := b.all()
+		return len(notes) > 0 && notes[len(notes)-1] == "stalled false []"
+	}, 10*time.Second, time.Millisecond)
+	assert.Zero(t, r.Counters.Taken.Load())
+}
