--- a/internal/pilot/drains_test.go
+++ b/internal/pilot/drains_test.go
@@ -20,6 +20,7 @@
 	core    *Core
 	now     float64
 	late    float64
+	deaf    bool // answers to marks are lost on their way to the pilot
 	coming  later
 	streams []*villager
 }
@@ -40,7 +41,9 @@
 	v.t.after(v.t.late, func() {
 		for _, n := range v.follow.Apply(m.Ops) {
 			v.t.after(v.t.late, func() {
-				v.t.handle(Applied{v, wire.Done{Mark: n, TookMs: 2 * v.t.late}})
+				if !v.t.deaf {
+					v.t.handle(Applied{v, wire.Done{Mark: n, TookMs: 2 * v.t.late}})
+				}
 			})
 		}
 	})
@@ -302,6 +305,42 @@
 	}
 }
 
+// TestDrainsAfterLostAnswers guards drains against answers that were lost (incident 029): what the pilot counts in the channel
+// stays as it was, while nothing is left in it that could be answered. One proxy is asked, and the drains go out.
+func TestDrainsAfterLostAnswers(t *testing.T) {
+	const grace, backlog = 3000.0, 1200.0
+	w, entries := newTown(30, 80, 800, backlog, grace)
+	w.late = 150
+	w.join(w.streams, entries)
+	w.until(40000)
+	drain := func(from int) (drained []wire.Entry) {
+		for _, e := range entries[from : from+3] { // one of each zone
+			e.Phase = wire.PhaseDraining
+			drained = append(drained, e)
+		}
+		w.handle(listed(false, drained...))
+		return drained
+	}
+	w.deaf = true
+	for i := range 4 { // more than fits, were it all still there
+		drain(3 * i)
+		w.until(w.now + 1500)
+	}
+	w.deaf = false
+	told, drained, last := w.now, drain(12), 0.0
+	for w.now < told+10000 {
+		w.until(w.now + 50)
+		for _, v := range w.streams {
+			if slices.ContainsFunc(drained, func(e wire.Entry) bool { return v.follow.Open(0, e.Endpoint) }) {
+				last = w.now - told
+			}
+		}
+	}
+	t.Logf("last drain after %.0f ms, most lines %d", last, w.core.Channel.MostSeen)
+	assert.LessOrEqual(t, last, grace)
+	assert.LessOrEqual(t, float64(w.core.Channel.MostSeen), backlog)
+}
+
 // TestDrainsToldToHerds guards drains against proxies that come after them with tables of a pilot that knew of none, in two
 // herds one after the other: each has let go of what drains within the grace of its joining.
 func TestDrainsToldToHerds(t *testing.T) {
