--- a/brain/window.go
+++ b/brain/window.go
@@ -26,13 +26,13 @@
 	sealed    float64        // position behind the last line that a mark follows
 	batches   map[int]*batch // by mark
 	lastMark  int            // before it was cut to markNames
-	reckoned  float64 // until when passing time is reckoned in
-	stalled   float64 // how long the channel took nothing, as last told; 0: it takes orders
-	heardAt   float64 // when the last answer came; 0: none has
-	busySince float64 // since when lines have been in flight
-	sealedAt  float64 // when the last mark went out
-	resumedAt float64 // when the last stall ended
-	probes    float64 // since the last answer
+	reckoned  float64        // until when passing time is reckoned in
+	stalled   float64        // how long the channel took nothing, as last told; 0: it takes orders
+	heardAt   float64        // when the last answer came; 0: none has
+	busySince float64        // since when lines have been in flight
+	sealedAt  float64        // when the last mark went out
+	resumedAt float64        // when the last stall ended
+	probes    float64        // since the last answer
 }
 
 // batch is what went out with a mark.
@@ -111,9 +111,6 @@
 // stall notes that the channel has taken nothing for so long, or, with 0, that it takes orders again. Lines that were
 // reckoned to have left meanwhile have not.
 func (w *window) stall(now, forMs float64) {
-	if w.stalled > 0 && forMs == 0 {
-		w.resumedAt = now
-	}
 	w.stalled, w.reckoned = forMs, now+forMs
 }
 
@@ -195,7 +192,7 @@
 // TCP's persist timer does at a shut window: its answer shows what has left. First is the wait after the last sign of
 // life; it doubles with each probe that brings no answer.
 func (w *window) probeAt(first float64) float64 {
-	return math.Max(w.heardAt, math.Max(w.sealedAt, w.resumedAt)) + first*math.Exp2(w.probes)
+	return math.Max(w.heardAt, w.sealedAt) + first*math.Exp2(w.probes)
 }
 
 // probed notes that a probe goes out.
--- a/brain/window_test.go
+++ b/brain/window_test.go
@@ -283,7 +283,7 @@
 	}
 	w.stall(2000, 700)
 	w.stall(3000, 0)
-	assert.Equal(t, 3000+8000.0, w.probeAt(500), "a stall is no silence of the proxies")
+	assert.Equal(t, 1000+8000.0, w.probeAt(500), "a stall is no sign of life")
 	_, known := w.answer(4000, mark, 3)
 	assert.True(t, known)
 	assert.Equal(t, 4500.0, w.probeAt(500))
--- a/internal/standin/relay/network.go
+++ b/internal/standin/relay/network.go
@@ -48,13 +48,18 @@
 	r.connsMu.Lock()
 	defer r.connsMu.Unlock()
 	for conn := range r.conns {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // a reset, as by a machine that has come back
-		}
-		_ = conn.Close()
+		reset(conn)
 	}
 }
 
+// reset ends a connection as a machine does that has come back and knows nothing of it.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 func (r *Relay) accept() {
 	for {
 		conn, err := r.listener.Accept()
@@ -103,6 +108,11 @@
 func (r *Relay) stream(conn net.Conn) {
 	events := make(chan string, streamBuffer)
 	r.mu.Lock()
+	if r.broken {
+		r.mu.Unlock()
+		reset(conn)
+		return
+	}
 	if !r.silent {
 		events <- "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 		for _, p := range r.proxies {
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -78,6 +78,7 @@
 	most      int                        // lines that ever were
 	calls     int                        // calls that named at least one order
 	silent    bool
+	broken    bool                // event streams are reset at once
 	carryOut  func(call int) bool // whether a call that gets no answer is carried out
 	network
 }
@@ -111,6 +112,19 @@
 	r.resetAll()
 }
 
+// BreakStreams resets the event streams and every new one, or lets them stand again. What happens meanwhile is not told.
+func (r *Relay) BreakStreams(broken bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.broken = broken
+	for conn := range r.streams {
+		if broken {
+			reset(conn)
+			delete(r.streams, conn)
+		}
+	}
+}
+
 // Calls returns how many calls with orders were read since the start or the last silence began.
 func (r *Relay) Calls() int {
 	r.mu.Lock()
