--- a/internal/platform/relay/relay.go
+++ b/internal/platform/relay/relay.go
@@ -256,7 +256,9 @@
 	case errors.Is(err, errLimit):
 	case errors.Is(err, errUncertain):
 		r.Counters.Uncertain.Add(int64(len(call)))
-		again = marks(call)
+		if again = marks(call); len(again) == 0 {
+			again = r.nextMarks()
+		}
 		r.log.Warn("call uncertain, said again", zap.Int("orders", len(call)), zap.Ints("marks", again), zap.Error(err))
 	case errors.Is(err, errRefused):
 		if r.refused++; r.refused >= mostRefuse {
@@ -311,6 +313,19 @@
 	*out = outage{pause: pauseLeast}
 }
 
+// nextMarks returns the marks that stand behind a call that sets none, as a part of a turn that was too long for one. To
+// count the other part twice as well is too much, which the next answer shows; not to count this one would be too little.
+func (r *Orders) nextMarks() []int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, call := range r.queue {
+		if next := marks(call); len(next) > 0 {
+			return next
+		}
+	}
+	return nil
+}
+
 // marks returns the marks that a call sets, with those that they have outdated.
 func marks(call []op) (numbers []int) {
 	for _, o := range call {
--- a/internal/platform/relay/relay_test.go
+++ b/internal/platform/relay/relay_test.go
@@ -412,3 +412,19 @@
 	}, 10*time.Second, time.Millisecond)
 	assert.Zero(t, r.Counters.Taken.Load())
 }
+
+// TestUncertainPartOfATurn guards the count of a turn that is too long for one call: its first part sets no mark.
+func TestUncertainPartOfATurn(t *testing.T) {
+	s := newScript(t, "lost")
+	b := &inbox{}
+	r := NewOrders(s.l.Addr().String(), nil, b, &Counters{}, zap.NewNop())
+	var turn []brain.Order
+	for i := range 1200 {
+		turn = append(turn, brain.SetLine{Table: i, Endpoint: 1, Weight: 2})
+	}
+	r.Carry(append(turn, brain.Mark{Number: 5}), endpoint)
+	require.Greater(t, len(r.queue), 1, "the turn is more than one call")
+	run(t, r)
+	require.Eventually(t, func() bool { return len(b.all()) > 0 }, 10*time.Second, time.Millisecond)
+	assert.Equal(t, "stalled true [5]", b.all()[0])
+}
