--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,7 +1,7 @@
 package brain
 
 // Call New once with the seed and the terms, then Handle with each moment's notes for its orders (port.go).
-// Endpoints, regions (a zone's proxies) and the courier (the channel) are actors: docs/design.md. Beside it:
+// Endpoints, regions (a zone's proxies) and the sender (the channel) are actors: docs/design.md. Beside it:
 //  1. speed:     listed weights corrected by the speed that load reports show
 //  2. health:    an endpoint that fails or goes mute for a zone's proxies leaves and returns by trial
 //  3. foresight: demand that overfills a zone, or machines others need, counts before reports show it
@@ -28,19 +28,16 @@
 	enoughReqs = 20.0   // reqs that tell as much of a zone's demand as its proxies' ordinary rates
 	fade       = 0.6    // what a gather leaves of the counts before it
 	fewReports = 24     // speeds that a histogram holds of an endpoint before it is halved
-	markNames  = 65535  // marks are numbered below this, by their time
 	longQueue  = 10.0   // a queue that counts as much as a whole load on top of a full one
 	noLimit    = 1e6    // reqs a second of a proxy that all let in
-	lateMs     = 500.0  // longest way of a message, where the settings tell of none
 )
 
 // In sets: own penalty against the zone's, reports against earlier ones, parts of a share for a trial and
-// worth a line; gap of binds; margin of latency, cost of a rank; waits for trials; load
+// worth a line; margin of latency, cost of a rank; waits for trials; load
 // that denies, steps, what stays; failures and load to try again at; gap that is sent, more for a table of a
 // second, fading of demand.
 const (
 	single, calm, trialPart, leastPart  = 0.4, 0.7, 0.12, 0.05
-	bindMs                              = 100.0
 	rankMargin, rankStep                = 1.3, 0.2
 	firstWait, longWait, waitGrowth     = 2000.0, 20000.0, 2.0
 	full, shedStep, release, leastLevel = 0.9, 0.06, 0.92, 0.1
@@ -73,7 +70,7 @@
 	bes             []*endpoint
 	regions         []*region
 	actors          []*inbox
-	desk            *courier
+	sender          *sender
 	groups          []kindGroup
 	kinds           []briefing // what was told of each req kind
 	proxies         map[int]Joined
@@ -103,9 +100,9 @@
 		b.groupKinds()
 	}
 	b.parts = b.dealtTo()
-	b.desk = &courier{b: b, proxies: map[int]*proxy{}, out: map[int]float64{}, each: map[int]float64{},
-		said: map[int]float64{}}
-	b.take, b.desk.take, b.actors = b.book, b.desk.read, []*inbox{&b.inbox, &b.desk.inbox}
+	b.sender = &sender{b: b, proxies: map[int]*proxy{}, out: map[int]float64{}, each: map[int]float64{},
+		withdrawnAt: map[int]float64{}}
+	b.take, b.sender.take, b.actors = b.book, b.sender.read, []*inbox{&b.inbox, &b.sender.inbox}
 	return b
 }
 
@@ -168,7 +165,7 @@
 		b.sort(n)
 	}
 	b.drain()
-	b.desk.flush()
+	b.sender.flush()
 	return b.orders
 }
 
@@ -192,7 +189,7 @@
 		b.region(n.Zone).post(n)
 	default: // who is joined, what comes to them and what they applied
 		b.post(n)
-		b.desk.post(n)
+		b.sender.post(n)
 	}
 }
 
@@ -289,7 +286,7 @@
 		r.take = r.read
 		b.regions, b.actors = append(b.regions, r), append(b.actors, &r.inbox)
 		for range len(b.groups) * b.parts {
-			b.desk.tables = append(b.desk.tables, &table{number: len(b.desk.tables), sent: map[int]float64{},
+			b.sender.tables = append(b.sender.tables, &table{number: len(b.sender.tables), sent: map[int]float64{},
 				told: map[int]Admit{}, levels: map[int]Admit{}, want: map[int]float64{}})
 		}
 	}
@@ -365,7 +362,7 @@
 		e.views, e.price, e.load, e.heard, e.span, e.again = map[int]*view{}, 0, -1, -staleMs, 0, true
 	}
 	if out := n.Phase != Ready; out != (e.listed && e.Phase != Ready) {
-		e.b.desk.post(Withdraw{n.Endpoint, out})
+		e.b.sender.post(Withdraw{n.Endpoint, out})
 	}
 	e.Entry, e.listed = n, true
 }
@@ -599,7 +596,7 @@
 		count[l.away], sum[l.away] = count[l.away]+pick(used[i] > 0, 1, 0), sum[l.away]+used[i]
 	}
 	proxies := r.b.brief.num("proxy_count", 1) // were all to come here at once, all have their tables in time
-	told := r.b.brief.num("lines_per_s", 1e6)*r.b.brief.num("drain_grace", 2000)/1000/proxies - r.b.desk.head()
+	told := r.b.brief.num("lines_per_s", 1e6)*r.b.brief.num("drain_grace", 2000)/1000/proxies - r.b.sender.head()
 	most := math.Min(told, ample*r.b.brief.num("conns_least", 1e9)*ready/proxies)
 	for k, room := range []float64{most, most - count[0]} {
 		want := math.Max(1, math.Min(parts, parts*math.Max(room-1, leastLines)/math.Max(count[k], 1)))
@@ -608,7 +605,7 @@
 		}
 	}
 	for p := range r.b.parts {
-		t, at := r.b.desk.tables[r.b.table(r.zone*r.b.parts+p, g)], [2]float64{}
+		t, at := r.b.sender.tables[r.b.table(r.zone*r.b.parts+p, g)], [2]float64{}
 		for i, l := range lines {
 			k := l.away
 			from, width, mass := float64(p)/parts, r.runs[2*g+k]/parts, used[i]/math.Max(sum[k], 1e-9)
@@ -616,7 +613,7 @@
 				math.Max(0, math.Min(at[k]+mass, from+width-1)-math.Max(at[k], from-1))
 			in := over > pick(t.sent[l.be] > 0, stays, enters)*math.Min(mass, width)
 			part := pick(width < 1, math.Ceil(3*over/mass)/3, 1) * r.runs[2*g] / r.runs[2*g+k]
-			r.b.desk.post(SetLine{t.number, l.be, pick(in, l.x/unit*part, 0)})
+			r.b.sender.post(SetLine{t.number, l.be, pick(in, l.x/unit*part, 0)})
 			at[k] += mass
 		}
 	}
@@ -724,7 +721,7 @@
 			}
 			way := pick(again && r.b.kinds[k]["repeats"] == "replayable", 2, usual)
 			for p := range r.b.parts {
-				r.b.desk.post(Admit{r.b.table(r.zone*r.b.parts+p, g), 1 << k, int(way), level})
+				r.b.sender.post(Admit{r.b.table(r.zone*r.b.parts+p, g), 1 << k, int(way), level})
 			}
 		}
 	}
@@ -738,339 +735,3 @@
 	sort.SliceStable(order, func(i, j int) bool { return worth[order[i]] < worth[order[j]] })
 	return order
 }
-
-type courier struct {
-	inbox
-	b       *Brain
-	window  window
-	tables  []*table // by number: the slot's times the groups, and the group's
-	proxies map[int]*proxy
-	out     map[int]float64 // endpoints that drain or are gone, and since when
-	told    float64         // when anything was said out
-	woken   float64         // when binding goes on
-	said    map[int]float64 // when each was that has not been let in again
-	each    map[int]float64 // lines written to each proxy in this flush
-	blocked blockage
-
-	reopened bool // a probe was answered: what is owed need not wait for the next gather
-}
-
-// blockage is what is owed while the channel has no room for it.
-type blockage struct {
-	withdrawals int     // due in this flush and not ordered
-	since       float64 // when the first thing owed was held back; 0: nothing is
-	wake        float64 // when the next probe is due, as asked of the clock
-}
-
-type table struct {
-	sent, want   map[int]float64
-	told, levels map[int]Admit
-	solved       bool // since the last push
-	owed         int  // lines that a rule wants changed and that did not fit in the last push
-	pushed       float64
-	number       int
-}
-
-type proxy struct {
-	Joined
-	bound, served bool    // may be on its tables, so that their lines cost; surely is
-	at            float64 // when it joined
-	answered      float64 // when it last answered a mark
-	probed        float64 // when the window was last probed with it
-}
-
-func (c *courier) read(note any) {
-	switch n := note.(type) {
-	case SetLine:
-		c.tables[n.Table].want[n.Endpoint], c.tables[n.Table].solved = n.Weight, true
-	case Admit:
-		c.tables[n.Table].levels[n.Kinds] = n
-	case Withdraw:
-		if c.out[n.Endpoint] = c.b.now; !n.Out {
-			delete(c.out, n.Endpoint)
-		}
-	case Joined:
-		old := c.proxies[n.Proxy]
-		c.proxies[n.Proxy] = &proxy{Joined: n, bound: n.Stood && old != nil && old.bound, at: c.b.now}
-	case Left:
-		delete(c.proxies, n.Proxy)
-	case Stalled:
-		c.stalled(n)
-	case Applied:
-		c.answered(n)
-	}
-}
-
-// stalled keeps the account true while orders can't cross, and marks anew what goes out again.
-func (c *courier) stalled(n Stalled) {
-	c.window.stall(c.b.now, n.ForMs)
-	c.window.join(n.Joined)
-	if mark, again := c.window.repeat(c.b.now, n.Again); again {
-		c.b.order(Mark{Number: mark})
-	}
-}
-
-func (c *courier) answered(n Applied) {
-	probing := c.window.probes > 0
-	ordered, known := c.window.answer(c.b.now, n.Number, n.Proxy)
-	p := c.proxies[n.Proxy]
-	if !known || p == nil {
-		return
-	}
-	p.answered, c.reopened = c.b.now, c.reopened || probing
-	if ordered > math.Max(p.at, c.told) {
-		p.served = p.bound // nothing but its tables' lines can have brought that mark
-	}
-}
-
-func (c *courier) gone(endpoint int) bool { _, out := c.out[endpoint]; return out }
-
-func (c *courier) head() float64 { return c.b.brief.num("head_lines", 4) + 1 } // of a message, with its mark
-
-func (c *courier) flush() {
-	before := c.window.written
-	c.window.pass(c.b.now, c.b.brief.num("lines_per_s", 1000)/1000)
-	turns := slices.DeleteFunc(slices.Clone(c.tables), func(t *table) bool {
-		return !t.solved && !(c.reopened && t.owed > 0)
-	})
-	c.reopened = false
-	sort.SliceStable(turns, func(i, j int) bool { return turns[i].pushed < turns[j].pushed }) // oldest first
-	for _, t := range turns {
-		c.push(t)
-	}
-	c.bindAll()
-	c.shut()
-	c.unblock(c.window.written > before)
-	if c.window.written > before {
-		c.b.order(Mark{Number: c.window.seal(c.b.now, c.each)})
-		c.each = map[int]float64{}
-	}
-}
-
-// unblock probes the window while what is owed to a rule waits for room, unless this flush brings a mark anyway, and
-// writes down when that begins and ends.
-func (c *courier) unblock(marked bool) {
-	k, owed := &c.blocked, c.blocked.withdrawals
-	for _, t := range c.tables {
-		owed += t.owed
-	}
-	k.withdrawals = 0
-	if owed == 0 {
-		if k.since > 0 {
-			c.b.say("channel has room again: %.0f ms, %.0f lines in flight", c.b.now-k.since, c.window.inFlight())
-		}
-		*k = blockage{}
-		return
-	}
-	if k.since == 0 {
-		k.since = math.Max(c.b.now, 1e-3)
-		c.b.say("channel full: %d drains wait, %.0f lines in flight of %.0f, %d marks kept, last answer %.0f ms ago",
-			owed, c.window.inFlight(), c.b.brief.num("backlog", 1000), len(c.window.batches), c.b.now-c.window.heardAt)
-	}
-	if c.window.stalled == 0 && !marked {
-		c.probe()
-	}
-}
-
-// probe binds one proxy anew to the tables it is on, once a probe is due: the smallest batch whose answer tells all.
-func (c *courier) probe() {
-	due := c.window.probeAt(2 * c.b.brief.num("late_most", lateMs))
-	if due > c.b.now {
-		if c.blocked.wake != due {
-			c.blocked.wake = due
-			c.b.order(WakeAt{due, "probe"})
-		}
-		return
-	}
-	if p := c.probeTarget(); p != nil {
-		c.b.say("channel probed with proxy %d: %.0f lines in flight, last answer %.0f ms ago", p.Proxy,
-			c.window.inFlight(), c.b.now-c.window.heardAt)
-		p.probed = c.b.now
-		c.window.probed()
-		c.bind(p)
-	}
-}
-
-// probeTarget returns the proxy that was probed least lately, of those the one that answered last; nil: there is none.
-func (c *courier) probeTarget() (target *proxy) {
-	for _, i := range slices.Sorted(maps.Keys(c.proxies)) {
-		p := c.proxies[i]
-		if lines, _ := c.cost(p); lines == 0 {
-			continue
-		}
-		if target == nil || p.probed < target.probed || p.probed == target.probed && p.answered > target.answered {
-			target = p
-		}
-	}
-	return target
-}
-
-// cost returns how many lines the tables of a proxy have, and what it costs to bind it to them.
-func (c *courier) cost(p *proxy) (lines int, cost float64) {
-	cost = c.head()
-	for _, t := range c.tablesOf(p) {
-		lines, cost = lines+len(t.sent), cost+float64(len(t.sent)+len(t.told)+1)
-	}
-	return lines, cost
-}
-
-func (c *courier) tablesOf(p *proxy) []*table {
-	first := c.b.table(c.b.slot(p.Joined), 0)
-	return c.tables[first : first+len(c.b.groups)]
-}
-
-// bind puts a proxy on its tables.
-func (c *courier) bind(p *proxy) {
-	_, cost := c.cost(p)
-	for g, t := range c.tablesOf(p) {
-		c.b.order(Bind{Table: t.number, Proxy: p.Proxy, Kinds: c.b.groups[g].mask})
-	}
-	c.window.spend(cost)
-	c.each[p.Proxy] += cost
-	p.bound, p.served = true, true
-}
-
-func (c *courier) bindAll() {
-	waits, lit, heads := maps.Clone(c.proxies), map[int]bool{}, c.head()/c.b.brief.num("lines_per_s", 1000)
-	heads *= c.b.brief.num("proxy_count", 1) / c.b.brief.num("instances", 1) / float64(len(c.b.regions))
-	maps.DeleteFunc(waits, func(_ int, p *proxy) bool { return p.served })
-	names := slices.Sorted(maps.Keys(waits))
-	for _, e := range c.b.bes {
-		lit[e.Zone] = lit[e.Zone] || e.listed && e.Phase == Ready
-	}
-	sort.SliceStable(names, func(i, j int) bool { // first those whose own zone has nothing left
-		return !lit[c.proxies[names[i]].Zone] && lit[c.proxies[names[j]].Zone]
-	})
-	for _, name := range names {
-		p := c.proxies[name]
-		lines, cost := c.cost(p)
-		if lines == 0 || c.b.regions[p.Zone].amiss < heavy*math.Min(1, heads) { // heads: s of the channel
-			continue // what it stands with is better than nothing, or as good
-		}
-		if waiting := c.window.estimate; waiting > 0 && waiting+cost > 0.3*c.b.brief.num("backlog", 1000) {
-			if c.woken <= c.b.now {
-				c.woken = c.b.now + bindMs
-				c.b.order(WakeAt{c.woken, "bind"})
-			}
-			return
-		}
-		c.bind(p)
-	}
-}
-
-// shut tells proxies that wait for their tables, halfway through their grace, what is out: most have them by
-// then. What doesn't fit, or still has a line, is said as soon as it can be, in few messages.
-func (c *courier) shut() {
-	unbound, bound, told, head, waits := map[int]float64{}, map[int]float64{}, c.told, c.head(), []*proxy{}
-	for _, p := range c.proxies {
-		bound[c.b.slot(p.Joined)] += pick(p.bound, 1, 0)
-		if !p.served {
-			unbound[p.Zone], waits = unbound[p.Zone]+1, append(waits, p)
-		}
-	}
-	for _, i := range slices.Sorted(maps.Keys(c.said)) { // standing lines would fell a cold one
-		if !c.gone(i) && (len(waits) == 0 || !c.cold(i)) {
-			c.b.order(Withdraw{i, false})
-			c.told = c.b.now
-			delete(c.said, i)
-		}
-	}
-	half := c.b.brief.num("drain_grace", 2000) / 2
-	for _, i := range slices.Sorted(maps.Keys(c.out)) {
-		zone, cost, due := c.b.bes[i].Zone, 0.0, len(waits) == 0 && c.said[i] == 0
-		lines := func(p *proxy) float64 { // what it costs at one that may hold it: of its zone, or spilt to it
-			return pick(p.Zone == zone || unbound[zone] == 0, 1+pick(c.each[p.Proxy] == 0, head, 0), 0)
-		}
-		for _, p := range waits {
-			from := math.Max(p.at, c.out[i])
-			cost += lines(p)
-			due = due || lines(p) > 0 && from > c.said[i] && from < c.out[i]+lastingMs && c.b.now >= from+half
-		}
-		held := func(t *table) bool { return t.sent[i] > 0 && bound[t.number/len(c.b.groups)] > 0 }
-		if !due || slices.ContainsFunc(c.tables, held) {
-			continue // its line goes first, at the same price
-		}
-		if cost > 0 && told+c.pace() > c.b.now {
-			continue
-		}
-		if cost > 0 && c.window.inFlight()+cost >= c.b.brief.num("backlog", 1000) {
-			c.blocked.withdrawals++
-			continue
-		}
-		c.b.order(Withdraw{i, true})
-		c.window.spend(cost)
-		for _, p := range waits {
-			c.each[p.Proxy] += lines(p)
-		}
-		c.told, c.said[i] = c.b.now, math.Max(c.b.now, 1e-3)
-	}
-}
-
-// pace is how far apart messages to a proxy are, so that half as many again stay within their limit.
-func (c *courier) pace() float64 {
-	return 1.5 * c.b.brief.num("messages_over", 10000) / c.b.brief.num("messages_most", math.MaxFloat64)
-}
-
-func (c *courier) cold(endpoint int) bool {
-	return c.b.bes[endpoint].Started != 0 && c.b.now-c.b.bes[endpoint].Started < c.b.brief.num("cold", 10000)
-}
-
-// push writes a used table's differences, the largest first, while there is room or less than half stands.
-func (c *courier) push(t *table) {
-	slot := t.number / len(c.b.groups)
-	users, joined := 0.0, false
-	for _, p := range c.proxies {
-		ours := c.b.slot(p.Joined) == slot
-		joined, users = joined || ours, users+pick(ours && p.bound, 1, 0)
-	}
-	if t.owed = 0; !joined {
-		return
-	}
-	t.solved = false
-	head, written := c.head(), 0.0
-	lines := (c.b.brief.num("backlog", 1000)/3-c.window.estimate)/math.Max(users, 1e-9) - head
-	lines = pick(users > 0 && t.pushed+c.pace() > c.b.now, 0, lines)
-	for _, k := range slices.Sorted(maps.Keys(t.levels)) {
-		if lines >= 1 && t.told[k] != t.levels[k] {
-			t.told[k], lines, written = t.levels[k], lines-1, written+1
-			c.b.order(t.levels[k])
-		}
-	}
-	whole := users * float64(c.b.parts*len(t.want)) / c.b.brief.num("lines_per_s", 1000) // the zone's tables
-	off := tolerance + thrift*math.Min(1, whole)
-	gaps, kept, full, apart := map[int]float64{}, 0.0, 0.0, 0.0
-	for _, k := range slices.Sorted(maps.Keys(t.want)) {
-		want, sent := t.want[k], t.sent[k]
-		kept, full = kept+pick(c.gone(k), 0, sent), full+want
-		if gap := math.Abs(sent - want); gap > off*math.Max(sent, want) {
-			rash := c.cold(k) && want < sent/2 // one that has started again with its old weight falls over meanwhile
-			gaps[k] = pick(c.gone(k), math.MaxFloat64, pick(rash, math.MaxFloat64/2, gap))
-			apart += gaps[k]
-		}
-	}
-	if at := users * float64(c.b.parts) * head / c.b.brief.num("lines_per_s", 1000); written == 0 &&
-		apart < heavy*math.Min(1, at)*full {
-		clear(gaps) // their heads would cost more than they bring
-	}
-	order := slices.Sorted(maps.Keys(gaps))
-	sort.SliceStable(order, func(i, j int) bool { return gaps[order[i]] > gaps[order[j]] })
-	for _, k := range order {
-		fits := users == 0 || c.window.inFlight()+users*(written+head+1) < c.b.brief.num("backlog", 1000)
-		if !fits && gaps[k] >= math.MaxFloat64/2 {
-			t.owed++ // a drain, or one that has started again: goes out as soon as there is room
-			continue
-		}
-		if lines--; !fits || lines < 0 && gaps[k] < math.MaxFloat64/2 && kept > full/2 { // not gone, nor rash
-			break
-		}
-		kept += pick(c.gone(k), 0, t.want[k]-t.sent[k])
-		t.sent[k], written = t.want[k], written+1
-		c.b.order(SetLine{Table: t.number, Endpoint: k, Weight: t.sent[k]})
-	}
-	maps.DeleteFunc(t.sent, func(_ int, weight float64) bool { return weight == 0 })
-	t.pushed = pick(written > 0, c.b.now, t.pushed)
-	for _, p := range c.proxies {
-		c.each[p.Proxy] += pick(written > 0 && c.b.slot(p.Joined) == slot && p.bound, written+head, 0)
-	}
-	c.window.spend(pick(written > 0, users*(written+head), 0))
-}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -666,10 +666,10 @@
 			p.gather(4, func() []Note { return tries(0, 20, 0, 0.4, 0, 1, 2, 3) })
 			require.Len(t, p.bound[0], 1)
 			c.again.Rate = 20
-			p.b.desk.window.estimate = p.b.brief.num("backlog", 0) / 3 // no room to bind anew at once
+			p.b.sender.window.estimate = p.b.brief.num("backlog", 0) / 3 // no room to bind anew at once
 			p.step(c.again)
-			p.b.desk.window.estimate = p.b.brief.num("backlog", 0) / 3
-			assert.Equal(t, c.mayCount, p.b.desk.proxies[0].bound, "its lines cost")
+			p.b.sender.window.estimate = p.b.brief.num("backlog", 0) / 3
+			assert.Equal(t, c.mayCount, p.b.sender.proxies[0].bound, "its lines cost")
 			p.now += 100
 			marks, orders := []int{}, p.step(append(c.between, Listing{Entries: []Entry{{Endpoint: 0, Zone: 0, Weight: 9}}})...)
 			if c.between != nil { // said halfway through the grace
@@ -688,7 +688,7 @@
 			}
 			p.gather(6, nil)
 			assert.Len(t, p.bound[0], 1+c.binds)
-			assert.True(t, p.b.desk.proxies[0].served)
+			assert.True(t, p.b.sender.proxies[0].served)
 		})
 	}
 }
@@ -705,7 +705,7 @@
 			p := pilot(t, nil)
 			p.now = 50000
 			p.step()
-			full := func() { p.b.desk.window.estimate, p.b.desk.window.left = 1400, p.b.desk.window.written } // no room for a table
+			full := func() { p.b.sender.window.estimate, p.b.sender.window.left = 1400, p.b.sender.window.written } // no room for a table
 			full()
 			p.step(Joined{Proxy: 0, Zone: 0, Rate: 20}, Listing{Entries: []Entry{{Endpoint: 0, Zone: 0, Weight: 2, Phase: Gone}}})
 			p.now += 1000
@@ -713,13 +713,13 @@
 			require.Contains(t, p.step(Alarm{"bind"}), Withdraw{0, true}, "halfway through the grace")
 			p.now += 100
 			if full(); !c.waits {
-				p.b.desk.window.estimate = 0
+				p.b.sender.window.estimate = 0
 			}
 			p.step()
 			full()
 			orders := p.step(Listing{Entries: []Entry{{Endpoint: 0, Zone: 0, Weight: 2, Started: p.now - c.age}}})
 			assert.Equal(t, c.letsIn, slices.Contains(orders, Order(Withdraw{0, false})))
-			p.b.desk.window.estimate = 0
+			p.b.sender.window.estimate = 0
 			p.gather(2, nil)
 			assert.False(t, p.out[0], "it is let in in the end")
 		})
@@ -841,7 +841,7 @@
 			assert.Equal(t, c.parts, p.b.parts)
 			users, sum := map[int]float64{}, map[int]float64{}
 			for part := range p.b.parts {
-				want, all := p.b.desk.tables[part].want, 0.0
+				want, all := p.b.sender.tables[part].want, 0.0
 				for _, w := range want {
 					all += w
 				}
@@ -978,7 +978,7 @@
 			p.gather(12, func() []Note { return tries(0, 20, 0, c.util, own[:10]...) })
 			in := map[int]int{} // tables that an endpoint is in
 			for part := range p.b.parts {
-				for i, w := range p.b.desk.tables[part].want {
+				for i, w := range p.b.sender.tables[part].want {
 					in[i] += int(pick(w > 0, 1, 0))
 				}
 			}
--- a/brain/window.go
+++ b/brain/window.go
@@ -9,6 +9,7 @@
 // Figures of the window.
 const (
 	lastingMs      = 30000.0 // a mark unanswered for longer is given up; so is what a proxy holds of one that left
+	markNames      = 65535   // marks are numbered below this, by their time
 	mostProbeWaits = 4       // doublings of the wait between probes
 	clockPart      = 0.25    // part of the told pace by which lines are taken to leave without an answer
 )
--- a/brain/window_test.go
+++ b/brain/window_test.go
@@ -80,7 +80,7 @@
 		m.channel, notes, m.seen, m.stalled, m.left)
 }
 
-// order puts lines into the channel as courier.flush does.
+// order puts lines into the channel as sender.flush does.
 func (m *channelModel) order(each map[int]int) {
 	lines := map[int]float64{}
 	for proxy, n := range each {
