An uncertain call waits until the relay's answers can be read

A relay whose answers were all spoilt counted as one that answers, and the call was said again each time: it may carry each out. TestUncertainOnce and TestAStallEnds use the stand-in relay instead of a listener of their own.

--- a/brain/window.go
+++ b/brain/window.go
@@ -32,7 +32,6 @@
 	heardAt   float64        // when the last answer came; 0: none has
 	busySince float64        // since when lines have been in flight
 	sealedAt  float64        // when the last mark went out
-	resumedAt float64        // when the last stall ended
 	probes    float64        // since the last answer
 }
 
--- a/internal/platform/relay/relay.go
+++ b/internal/platform/relay/relay.go
@@ -44,7 +44,6 @@
 var (
 	errNotSent   = errors.New("not carried out")
 	errUncertain = errors.New("carried out or not")
-	errSilent    = fmt.Errorf("%w", errUncertain) // and nothing shows that the relay answers at all
 	errLimit     = errors.New("the run has not begun")
 	errRefused   = errors.New("refused")
 )
@@ -229,7 +228,8 @@
 	return nil
 }
 
-// reached makes an empty call in an outage and returns whether the relay says anything to it.
+// reached makes an empty call in an outage and returns whether the relay says anything to it that can be read: one whose
+// answers are all spoilt would leave the call uncertain again, and carry it out each time.
 func (r *Orders) reached(ctx context.Context, out *outage) bool {
 	r.mu.Lock()
 	address := r.address
@@ -239,7 +239,7 @@
 	if err == nil {
 		_, err = parse(body, 0)
 	}
-	if !errors.Is(err, errNotSent) && !errors.Is(err, errSilent) && !errors.Is(err, errLimit) {
+	if err == nil || errors.Is(err, errRefused) {
 		return true
 	}
 	r.log.Debug("relay out of reach", zap.Int("tries", out.tries), zap.Error(err))
@@ -403,12 +403,12 @@
 func (r *Orders) read() (body []byte, last bool, err error) {
 	resp, err := http.ReadResponse(r.reader, nil)
 	if err != nil {
-		return nil, false, fmt.Errorf("%w: read answer: %w", errSilent, err)
+		return nil, false, fmt.Errorf("%w: read answer: %w", errUncertain, err)
 	}
 	defer resp.Body.Close()
 	body, err = io.ReadAll(io.LimitReader(resp.Body, mostBody))
 	if err != nil {
-		return nil, false, fmt.Errorf("%w: read answer: %w", errSilent, err)
+		return nil, false, fmt.Errorf("%w: read answer: %w", errUncertain, err)
 	}
 	return body, resp.Close, nil
 }
--- a/internal/platform/relay/relay_test.go
+++ b/internal/platform/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"indigousher/brain"
+	standin "indigousher/internal/standin/relay"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -33,6 +34,8 @@
 	steps []string
 	done  []string // orders carried out, short
 	calls int
+	// spoilt is how many empty calls get an answer that can't be read, once the script has begun.
+	spoilt int
 	// closing has each connection closed once a call is answered; open counts those that stand.
 	closing bool
 	open    int
@@ -94,8 +97,7 @@
 		return false
 	}
 	if len(call.Ops) == 0 { // a probe: the script tells of calls that carry orders
-		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"ok_count\":0}")
-		return err == nil
+		return s.answerProbe(conn)
 	}
 	s.mu.Lock()
 	step, halt := "ok", len(call.Ops)
@@ -132,6 +134,18 @@
 	}
 }
 
+func (s *script) answerProbe(conn net.Conn) bool {
+	s.mu.Lock()
+	out := `{"ok_count":0}`
+	if s.spoilt > 0 {
+		s.spoilt--
+		out = `{"ok_cou`
+	}
+	s.mu.Unlock()
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(out), out)
+	return err == nil
+}
+
 func short(o map[string]any) string {
 	switch o["verb"] {
 	case "SET":
@@ -326,59 +340,20 @@
 	assert.EqualValues(t, 5, r.Counters.Taken.Load())
 }
 
-// silentFor answers nothing, probes included, until it is opened. It counts the calls with orders that it reads before and after.
-func silentFor(t *testing.T) (address string, calls func() (silent, answered int), open func()) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// silentRelay returns a stand-in relay that says nothing, to probes neither, and carries nothing out until it recovers.
+func silentRelay(t *testing.T) *standin.Relay {
+	s, err := standin.Start(standin.Config{Proxies: []standin.Proxy{{Number: 3, Zone: "a"}}, LinesPerS: 1000})
 	require.NoError(t, err)
-	var mu sync.Mutex
-	silent, answered, opened := 0, 0, false
-	serve := func(conn net.Conn) {
-		defer conn.Close()
-		r := bufio.NewReader(conn)
-		for {
-			req, err := http.ReadRequest(r)
-			if err != nil {
-				return
-			}
-			var call struct{ Ops []map[string]any }
-			if json.NewDecoder(req.Body).Decode(&call) != nil {
-				return
-			}
-			mu.Lock()
-			if len(call.Ops) > 0 && opened {
-				answered++
-			} else if len(call.Ops) > 0 {
-				silent++
-			}
-			says := opened
-			mu.Unlock()
-			if !says {
-				continue
-			}
-			body := fmt.Sprintf(`{"ok_count":%d}`, len(call.Ops))
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-		}
-	}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	t.Cleanup(func() { _ = l.Close() })
-	return l.Addr().String(), func() (int, int) { mu.Lock(); defer mu.Unlock(); return silent, answered },
-		func() { mu.Lock(); defer mu.Unlock(); opened = true }
+	t.Cleanup(s.Close)
+	s.FallSilent(func(int) bool { return false })
+	return s
 }
 
 // TestUncertainOnce guards the proxies' channel in a long silence (incident 029): a call is tried once and said again once,
 // whatever waits has become one call by then, and the module is told which marks that call has.
 func TestUncertainOnce(t *testing.T) {
-	address, calls, open := silentFor(t)
-	b := &inbox{}
-	r := NewOrders(address, nil, b, &Counters{}, zap.NewNop())
+	s, b := silentRelay(t), &inbox{}
+	r := NewOrders(s.Address(), nil, b, &Counters{}, zap.NewNop())
 	run(t, r)
 	r.Carry([]brain.Order{brain.SetLine{Table: 1, Endpoint: 1, Weight: 2}, brain.Mark{Number: 5}}, endpoint)
 	require.Eventually(t, func() bool { return r.Counters.Probes.Load() >= 3 }, 10*time.Second, time.Millisecond)
@@ -386,11 +361,10 @@
 		r.Carry([]brain.Order{brain.SetLine{Table: mark, Endpoint: 1, Weight: 2}, brain.Mark{Number: mark}}, endpoint)
 	}
 	require.Eventually(t, func() bool { return r.Counters.Probes.Load() >= 5 }, 10*time.Second, time.Millisecond)
-	open()
+	assert.Equal(t, 1, s.Calls(), "only probes go out while nothing is said")
+	s.Recover()
 	require.Eventually(t, func() bool { return r.Counters.Taken.Load() > 0 }, 10*time.Second, time.Millisecond)
-	silent, answered := calls()
-	assert.Equal(t, 1, silent, "only probes went out while nothing was said")
-	assert.Equal(t, 1, answered)
+	assert.Equal(t, 2, s.Calls())
 	notes := b.all()
 	assert.Equal(t, "stalled true [5]", notes[0])
 	assert.Equal(t, []string{"stalled true [] joined [8 7 6 5]", "stalled false []"}, notes[len(notes)-2:])
@@ -398,19 +372,31 @@
 
 // TestAStallEnds guards against a stall whose call no longer exists: the module would wait for its end for good.
 func TestAStallEnds(t *testing.T) {
-	address, _, open := silentFor(t)
-	b := &inbox{}
-	r := NewOrders(address, nil, b, &Counters{}, zap.NewNop())
+	s, b := silentRelay(t), &inbox{}
+	r := NewOrders(s.Address(), nil, b, &Counters{}, zap.NewNop())
 	run(t, r)
 	r.Carry([]brain.Order{brain.Bind{Table: 1, Proxy: 3}}, endpoint)
 	require.Eventually(t, func() bool { return r.Counters.Probes.Load() >= 1 }, 10*time.Second, time.Millisecond)
 	r.Gone(3)
-	open()
+	s.Recover()
 	require.Eventually(t, func() bool {
 		notes := b.all()
 		return len(notes) > 0 && notes[len(notes)-1] == "stalled false []"
 	}, 10*time.Second, time.Millisecond)
 	assert.Zero(t, r.Counters.Taken.Load())
+	assert.Zero(t, s.Bound())
+}
+
+// TestSpoiltProbes guards against a relay that carries calls out and whose answers can't be read for a while: a call is not
+// said again before an answer can be.
+func TestSpoiltProbes(t *testing.T) {
+	s := newScript(t, "garbage")
+	s.spoilt = 4
+	r := start(t, s.l.Addr().String())
+	r.Carry([]brain.Order{brain.SetLine{Table: 1, Endpoint: 1, Weight: 2}, brain.Mark{Number: 5}}, endpoint)
+	require.Eventually(t, func() bool { return r.Counters.Taken.Load() > 0 }, 10*time.Second, time.Millisecond)
+	assert.EqualValues(t, 5, r.Counters.Probes.Load())
+	assert.Equal(t, []string{"SET 1 e1 2", "SYNC 5", "SET 1 e1 2", "SYNC 5"}, s.carried())
 }
 
 // TestUncertainPartOfATurn guards the count of a turn that is too long for one call: its first part sets no mark.
