--- a/cmd/indigousher/silence_test.go
+++ b/cmd/indigousher/silence_test.go
@@ -143,7 +143,7 @@
 			t.Parallel()
 			s := startSilentSite(t, binary)
 			s.settle()
-			s.relay.FallSilent(carryOut)
+			s.relay.Fail(relay.Silent, carryOut)
 			before := s.drain(0)
 			time.Sleep(silenceLasts)
 			s.relay.Recover()
--- a/cmd/indigousher/silences_test.go
+++ b/cmd/indigousher/silences_test.go
@@ -15,27 +15,36 @@
 	"github.com/stretchr/testify/require"
 
 	"indigousher/internal/standin/catalog"
+	"indigousher/internal/standin/relay"
 )
 
 // Figures of the seeded silences.
 const (
 	silenceSeeds    = 6 // in CI; SILENCE_SEEDS asks for more
 	silencesLast    = 30 * time.Second
-	silenceWaits    = 900 * time.Millisecond // that limits still wait after a silence: 1.5 s from its last call
-	drainedFor      = 7 * time.Second        // until an endpoint is listed as active again
+	drainedFor      = 7 * time.Second // until an endpoint is listed as active again
 	lookEach        = 20 * time.Millisecond
 	mostAtOnce      = 3 // endpoints that drain at once
 	leastLeftActive = 12
 )
 
-// span is a time in which the relay says nothing.
+// failureWaits is how long limits still wait after a failure. The rules give 1.5 s from the last call that was silent or
+// unreadable and 0.5 s from one that was reset; the last call may be 0.6 and 0.35 s before the failure's end.
+var failureWaits = map[relay.Failure]time.Duration{
+	relay.Silent:     900 * time.Millisecond,
+	relay.Unreadable: 1150 * time.Millisecond,
+	relay.Resetting:  150 * time.Millisecond,
+}
+
+// span is a time in which something fails.
 type span struct{ from, to time.Duration }
 
 // silencePlan is what a seed draws.
 type silencePlan struct {
 	silences []span
-	carried  []float64 // the chance that a call read in that silence is carried out
-	lost     []span    // times in which the event streams are broken and answers to marks are lost
+	failures []relay.Failure // how the relay fails in each
+	carried  []float64       // the chance that a call read in that silence is carried out
+	lost     []span          // times in which the event streams are broken and answers to marks are lost
 	drains   []time.Duration
 }
 
@@ -46,6 +55,7 @@
 	for at := between(time.Second, 3*time.Second); at < silencesLast-12*time.Second; {
 		s := span{at, at + between(300*time.Millisecond, 8*time.Second)}
 		p.silences = append(p.silences, s)
+		p.failures = append(p.failures, []relay.Failure{relay.Silent, relay.Silent, relay.Unreadable, relay.Resetting}[r.IntN(4)])
 		p.carried = append(p.carried, []float64{0, 0.5, 1}[r.IntN(3)])
 		at = s.to + between(500*time.Millisecond, 6*time.Second)
 	}
@@ -61,8 +71,8 @@
 // deadline returns when a drain has to be kept that was told at some time: silences stop the clock.
 func (p silencePlan) deadline(told time.Duration) time.Duration {
 	end := told + silenceGrace + silenceSlack
-	for _, s := range p.silences {
-		if until := s.to + silenceWaits; s.from < end && until > told {
+	for i, s := range p.silences {
+		if until := s.to + failureWaits[p.failures[i]]; s.from < end && until > told {
 			end += until - max(told, s.from)
 		}
 	}
@@ -101,7 +111,9 @@
 	if d.silent < len(d.plan.silences) && d.now() >= d.plan.silences[d.silent].from {
 		chance := d.plan.carried[d.silent]
 		seed := d.random.Uint64()
-		d.relay.FallSilent(func(n int) bool { return rand.New(rand.NewPCG(seed, uint64(n))).Float64() < chance })
+		d.relay.Fail(d.plan.failures[d.silent], func(n int) bool {
+			return rand.New(rand.NewPCG(seed, uint64(n))).Float64() < chance
+		})
 		d.silent++
 	}
 	if d.ended < d.silent && d.now() >= d.plan.silences[d.ended].to {
@@ -154,8 +166,8 @@
 	}
 }
 
-// TestDrainsUnderSeededSilences plays drawn days with a real process: the relay falls silent for 0.3 to 8 s, again and
-// again, and carries out all, half or none of what it reads meanwhile; event streams are broken for up to a second, with the
+// TestDrainsUnderSeededSilences plays drawn days with a real process: the relay is silent, resets its calls or answers in a
+// form that can't be read for 0.3 to 8 s, again and again, and carries out all, half or none of what it reads meanwhile; event streams are broken for up to a second, with the
 // answers to marks; endpoints drain and return. Drains are kept within the grace, which waits in silences, and the channel
 // stays short.
 func TestDrainsUnderSeededSilences(t *testing.T) {
--- a/internal/platform/relay/relay_test.go
+++ b/internal/platform/relay/relay_test.go
@@ -345,7 +345,7 @@
 	s, err := standin.Start(standin.Config{Proxies: []standin.Proxy{{Number: 3, Zone: "a"}}, LinesPerS: 1000})
 	require.NoError(t, err)
 	t.Cleanup(s.Close)
-	s.FallSilent(func(int) bool { return false })
+	s.Fail(standin.Silent, func(int) bool { return false })
 	return s
 }
 
--- a/internal/standin/relay/network.go
+++ b/internal/standin/relay/network.go
@@ -94,9 +94,13 @@
 			r.stream(conn)
 			return
 		}
-		answer, answered := r.take(body)
-		if !answered {
+		answer, failure := r.take(body)
+		switch failure {
+		case Silent:
 			continue // read on until the connection is reset
+		case Resetting:
+			reset(conn)
+			return
 		}
 		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer); err != nil {
 			return
@@ -113,7 +117,7 @@
 		reset(conn)
 		return
 	}
-	if !r.silent {
+	if r.failure != Silent {
 		events <- "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 		for _, p := range r.proxies {
 			events <- chunk(fmt.Sprintf(`{"type":"joined","object":{"node":%d,"locality":%q,"w":%g,"cold":%t}}`,
@@ -156,7 +160,7 @@
 
 // tell hands an event to all streams; r.mu is held. While the relay is silent events are lost.
 func (r *Relay) tell(event string) {
-	if r.silent {
+	if r.failure == Silent {
 		return
 	}
 	for conn, events := range r.streams {
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -1,6 +1,6 @@
 // Package relay is a stand-in for the platform's relay on loopback. It takes orders and tells events over HTTP, lays one
 // message out for each proxy concerned, and lets the messages leave one after another at a fixed pace, so that tests see
-// how full the channel gets and when each proxy stops sending to an endpoint. It can fall silent for a while. It knows
+// how full the channel gets and when each proxy stops sending to an endpoint. It can fail for a while. It knows
 // one group of request classes, decides nothing, and never calls the pilot.
 package relay
 
@@ -77,7 +77,8 @@
 	waiting   int                        // lines in the channel
 	most      int                        // lines that ever were
 	calls     int                        // calls that named at least one order
-	silent    bool
+	failing   bool
+	failure   Failure
 	broken    bool                // event streams are reset at once
 	carryOut  func(call int) bool // whether a call that gets no answer is carried out
 	network
@@ -96,20 +97,33 @@
 	return r, nil
 }
 
-// FallSilent stops all answers and events until Recover. The n-th call read meanwhile, from 1, is carried out if carryOut
-// says so.
-func (r *Relay) FallSilent(carryOut func(n int) bool) {
+// Failure is a way in which the relay fails its calls.
+type Failure int
+
+// The failures.
+const (
+	None       Failure = iota
+	Silent             // nothing is said, no events either
+	Unreadable         // answers can't be read
+	Resetting          // the connection of a call is reset once it is read
+)
+
+// Fail has the relay fail its calls until Recover. The n-th call read meanwhile, from 1, is carried out if carryOut says so.
+func (r *Relay) Fail(how Failure, carryOut func(n int) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.silent, r.carryOut, r.calls = true, carryOut, 0
+	r.failure, r.carryOut, r.calls = how, carryOut, 0
 }
 
-// Recover has the relay answer again; connections of the silence are reset.
+// Recover has the relay answer again; connections of a silence are reset.
 func (r *Relay) Recover() {
 	r.mu.Lock()
-	r.silent = false
+	was := r.failure
+	r.failure = None
 	r.mu.Unlock()
-	r.resetAll()
+	if was == Silent {
+		r.resetAll()
+	}
 }
 
 // BreakStreams resets the event streams and every new one, or lets them stand again. What happens meanwhile is not told.
@@ -125,7 +139,7 @@
 	}
 }
 
-// Calls returns how many calls with orders were read since the start or the last silence began.
+// Calls returns how many calls with orders were read since the start or the last failure began.
 func (r *Relay) Calls() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -169,30 +183,37 @@
 	return proxies
 }
 
-// take reads a call and returns its answer; answered is false where nothing may be said.
-func (r *Relay) take(body []byte) (answer string, answered bool) {
+// take reads a call and returns what is said to it, and how it fails.
+func (r *Relay) take(body []byte) (answer string, failure Failure) {
 	var call struct {
 		Ops []order `json:"ops"`
 	}
-	if err := json.Unmarshal(body, &call); err != nil || call.Ops == nil {
-		return `{"error":"malformed"}`, !r.isSilent()
-	}
+	err := json.Unmarshal(body, &call)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if err != nil || call.Ops == nil {
+		return `{"error":"malformed"}`, r.failure
+	}
 	if len(call.Ops) > 0 {
 		r.calls++
 	}
-	if r.silent && !r.carryOut(r.calls) {
-		return "", false
+	if r.failure != None && !r.carryOut(r.calls) {
+		return unreadable, r.failure
 	}
-	taken := r.carry(call.Ops)
-	return fmt.Sprintf(`{"ok_count":%d}`, taken), !r.silent
+	answer = fmt.Sprintf(`{"ok_count":%d}`, r.carry(call.Ops))
+	if r.failure == Unreadable {
+		answer = unreadable
+	}
+	return answer, r.failure
 }
 
+// unreadable is what a spoilt answer looks like.
+const unreadable = `{"ok_cou`
+
 func (r *Relay) isSilent() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.silent
+	return r.failure == Silent
 }
 
 // carry carries orders out up to the first that names an unknown proxy, and returns how many it took.
