--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -674,8 +674,11 @@
 			marks, orders := []int{}, p.step(append(c.between, Listing{Entries: []Entry{{Endpoint: 0, Zone: 0, Weight: 9}}})...)
 			if c.between != nil { // said halfway through the grace
 				p.now += 1100
+				p.b.sender.window.estimate = 2 * p.b.brief.num("backlog", 0) // nothing that can wait goes out
 				orders = p.step()
 				require.Contains(t, orders, Withdraw{1, true})
+				assert.True(t, slices.ContainsFunc(orders, func(o Order) bool { _, binds := o.(Bind); return binds }),
+					"a withdrawal may reach nobody: a bind beside it brings an answer to the mark")
 			}
 			for _, o := range orders {
 				if m, ok := o.(Mark); ok {
--- a/brain/sender.go
+++ b/brain/sender.go
@@ -253,7 +253,7 @@
 			delete(c.withdrawnAt, i)
 		}
 	}
-	half := c.b.brief.num("drain_grace", 2000) / 2
+	half, answered, written := c.b.brief.num("drain_grace", 2000)/2, len(c.each) > 0, c.window.written
 	for _, i := range slices.Sorted(maps.Keys(c.out)) {
 		zone, cost, due := c.b.bes[i].Zone, 0.0, len(waits) == 0 && c.withdrawnAt[i] == 0
 		lines := func(p *proxy) float64 { // what it costs at one that may hold it: of its zone, or spilt to it
@@ -282,6 +282,22 @@
 		}
 		c.lastWithdrawal, c.withdrawnAt[i] = c.b.now, math.Max(c.b.now, 1e-3)
 	}
+	if c.window.written > written && !answered {
+		c.bindOne()
+	}
+}
+
+// bindOne binds one proxy beside withdrawals that go out alone. They count at all who may hold the endpoint; if none does,
+// nobody is sent the mark, and what was counted would stand until a probe.
+func (c *sender) bindOne() {
+	p := c.probeTarget()
+	if p == nil {
+		return
+	}
+	if _, cost := c.cost(p); c.window.inFlight()+cost < c.b.brief.num("backlog", 1000) {
+		p.probed = c.b.now
+		c.bind(p)
+	}
 }
 
 // pace is how far apart messages to a proxy are, so that half as many again stay within their limit.
