--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -59,11 +59,10 @@
 // proxyState is what a proxy has applied, and which table the relay has it on.
 type proxyState struct {
 	Proxy
-	table   *int // as ordered
-	bound   bool // as applied: sends by its lines, no longer by the standing ones
-	lines   map[string]float64
-	out     map[string]bool
-	applied int // messages
+	table *int // as ordered
+	bound bool // as applied: sends by its lines, no longer by the standing ones
+	lines map[string]float64
+	out   map[string]bool
 }
 
 // Relay is a relay that runs.
@@ -335,7 +334,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.proxies[m.proxy]
-	p.applied++
 	for _, c := range m.changes {
 		switch {
 		case c.clear:
