--- /dev/null
+++ b/review/standin/scenarios.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+)
+
+// scenario is a deployment and what happens to it.
+type scenario struct {
+	deployment *deployment
+	play       func(ctx context.Context, w *world, trouble bool) error
+}
+
+var scenarios = map[string]scenario{
+	"replaced": {docs(9, []string{"a", "b"}), replaced},
+	"storm":    {docs(15, []string{"a", "b"}), storm},
+}
+
+// docs returns a deployment like the small one of the first brief: endpoints in three zones, two pilots and 12 proxies.
+func docs(endpoints int, pilotZones []string) *deployment {
+	d := &deployment{
+		zones: []string{"a", "b", "c"}, kinds: []string{"kind-a", "kind-b"}, pilotZones: pilotZones, rate: 2, byZone: true,
+		classes: []class{
+			{
+				name: "stock-read", share: 0.39, work: 120 * time.Millisecond, aim: 1500 * time.Millisecond, deadline: 4 * time.Second,
+				worth: 2, idempotency: "read_like",
+			},
+			{
+				name: "lot-check", share: 0.38, work: 70 * time.Millisecond, aim: 800 * time.Millisecond,
+				deadline: 2500 * time.Millisecond, worth: 3, idempotency: "read_like",
+			},
+			{
+				name: "issue-note", share: 0.23, work: 150 * time.Millisecond, aim: 2500 * time.Millisecond,
+				deadline: 7500 * time.Millisecond, worth: 5, idempotency: "non_idempotent", writes: true,
+			},
+		},
+		linesPerS: 800, backlog: 1200, head: 4, late: 192 * time.Millisecond, lateMost: 480 * time.Millisecond,
+		messagesMost: 30, standing: 5, ejects: 5, keepAway: 4 * time.Second, emptyFor: 4700 * time.Millisecond,
+		drainGrace: 3 * time.Second, cold: 9 * time.Second, coldFrom: 0.16, fall: 1500 * time.Millisecond, fallMultiple: 2.5,
+		connsLeast: 56, period: 500 * time.Millisecond, intakePerS: 60, reportLate: 400 * time.Millisecond,
+		redial: [2]time.Duration{410 * time.Millisecond, 2200 * time.Millisecond}, fields: []string{"cpu_share", "served_ps"},
+	}
+	for i := range endpoints {
+		d.endpoints = append(d.endpoints, member{fmt.Sprintf("s-%02d", i), d.zones[i%3], d.kinds[i%2]})
+	}
+	for i := range 12 {
+		d.proxies = append(d.proxies, d.zones[i%3])
+	}
+	return d
+}
+
+// replaced: pilots restart in turn while endpoints give way to new ones under new ids, twice, a minute apart.
+func replaced(ctx context.Context, w *world, trouble bool) error {
+	n1 := w.pilots[1]
+	// A planned restart of n1: its proxies join n0 and go back later.
+	if err := w.sleep(ctx, 6); err != nil {
+		return err
+	}
+	n1.end(syscall.SIGTERM)
+	if err := w.sleep(ctx, 12); err != nil {
+		return err
+	}
+	if err := n1.start(ctx); err != nil {
+		return err
+	}
+	if err := w.sleep(ctx, 15); err != nil {
+		return err
+	}
+	w.goHome()
+	if err := w.sleep(ctx, 20); err != nil {
+		return err
+	}
+	// The endpoints of zone b give way to new ones.
+	if trouble {
+		if err := w.replace(ctx, "b", "t"); err != nil {
+			return err
+		}
+	}
+	if err := w.sleep(ctx, 86); err != nil {
+		return err
+	}
+	if trouble {
+		if err := w.replace(ctx, "b", "u"); err != nil {
+			return err
+		}
+	}
+	if err := w.sleep(ctx, 101); err != nil {
+		return err
+	}
+	n1.end(syscall.SIGTERM)
+	return w.sleep(ctx, 112)
+}
+
+// replace starts a new endpoint for each one of a zone, drains the old ones and ends them.
+func (w *world) replace(ctx context.Context, zone, prefix string) error {
+	var old []string
+	var fresh []member
+	w.mu.Lock()
+	for _, name := range sortedNames(w.servers) {
+		if s := w.servers[name]; s.entry.Zone == zone && s.entry.Status == active {
+			old = append(old, name)
+			fresh = append(fresh, member{prefix + name[1:], zone, s.entry.Type})
+		}
+	}
+	w.mu.Unlock()
+	if err := w.add(time.Now(), fresh...); err != nil {
+		return err
+	}
+	w.status(leaving, old...)
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(4 * time.Second):
+	}
+	w.stopServers(old...)
+	w.status(left, old...)
+	return nil
+}
