Review case 2: a rejoin after a short gap in the news is taken for the old stream

Change: review/2 breaks streams and the news at once, then replaces the endpoints of two zones; the stand-in learnt to break streams, news and calls, to move addresses, and to play troubles by chance. Product code is unchanged.

--- a/review/standin/pilot.go
+++ b/review/standin/pilot.go
@@ -58,7 +58,9 @@
 	if err := os.MkdirAll(filepath.Join(p.dir, "tmp"), 0o700); err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// An address of its own, so that another run does not take the port between this and the start of the pilot.
+	pid := os.Getpid()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+rank, pid>>8&255, 1+pid%254))
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin/relay.go
+++ b/review/standin/relay.go
@@ -77,6 +77,7 @@
 	maxWaiting int
 	epoch      int // start of the pilot that it serves
 	fault      string
+	noNewsTill time.Time // connections for news are reset until then
 }
 
 // newRelay starts a relay on a free port.
@@ -165,12 +166,31 @@
 			time.Sleep(pollInterval)
 		}
 	}
+	resetAnswer(out)
+	return true
+}
+
+// resetAnswer resets the connection of a call.
+func resetAnswer(out http.ResponseWriter) {
 	if hijacker, ok := out.(http.Hijacker); ok {
 		if conn, _, err := hijacker.Hijack(); err == nil {
 			reset(conn)
 		}
 	}
-	return true
+}
+
+// breakNews resets the connections for news, and new ones for a time.
+func (r *relay) breakNews(span time.Duration) {
+	w := r.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.log.line("news connections of %s break for %v", r.pilot.name, span)
+	w.excuse(4 * time.Second)
+	r.noNewsTill = time.Now().Add(span)
+	for s := range r.streams {
+		close(s)
+		delete(r.streams, s)
+	}
 }
 
 // present returns the present fault.
@@ -475,6 +495,12 @@
 		time.Sleep(pollInterval)
 	}
 	w.mu.Lock()
+	if time.Now().Before(r.noNewsTill) {
+		w.mu.Unlock()
+		resetAnswer(out)
+		return
+	}
+	w.log.line("news connection of %s opens, %d proxies joined", r.pilot.name, len(r.joined))
 	for _, n := range sortedKeys(r.joined) {
 		lines <- r.joined[n].joinedEvent()
 	}
@@ -495,6 +521,7 @@
 		select {
 		case text, ok := <-lines:
 			if !ok {
+				resetAnswer(out)
 				return
 			}
 			line = text
--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -15,6 +15,9 @@
 
 var scenarios = map[string]scenario{
 	"replaced": {docs(9, []string{"a", "b"}), replaced},
+	"returns":  {branch(), returns},
+	"blip":     {checks(), blip},
+	"storm150": {checks(), storm},
 	"storm":    {docs(15, []string{"a", "b"}), storm},
 }
 
@@ -118,3 +121,83 @@
 	w.status(left, old...)
 	return nil
 }
+
+// branch returns a deployment with a small third site: two endpoints, and a class that stays within the proxy's zone.
+func branch() *deployment {
+	d := docs(9, []string{"a"})
+	d.byZone = false
+	d.classes[2].ownZone = true
+	d.endpoints = d.endpoints[:8] // zone c has s-02 and s-05
+	return d
+}
+
+// returns: an endpoint of the small site is switched off for over a minute and on again, then the other one is drained.
+// Meanwhile a new endpoint is switched on at another site.
+func returns(ctx context.Context, w *world, trouble bool) error {
+	if trouble {
+		if err := w.sleep(ctx, 8); err != nil {
+			return err
+		}
+		w.status(leaving, "s-02")
+		if err := w.sleep(ctx, 12); err != nil {
+			return err
+		}
+		w.stopServers("s-02")
+		w.status(left, "s-02")
+		if err := w.sleep(ctx, 74); err != nil {
+			return err
+		}
+		if err := w.add(time.Now(), member{"x-09", "a", "kind-a"}); err != nil {
+			return err
+		}
+		if err := w.sleep(ctx, 78); err != nil {
+			return err
+		}
+		if err := w.add(time.Now(), member{"s-02", "c", "kind-a"}); err != nil {
+			return err
+		}
+	}
+	if err := w.sleep(ctx, 94); err != nil {
+		return err
+	}
+	w.status(leaving, "s-05")
+	return w.sleep(ctx, 110)
+}
+
+// checks returns a deployment of the size that the bench for real pilots has, with figures of the third site.
+func checks() *deployment {
+	d := docs(30, []string{"a", "b"})
+	d.byZone = false
+	d.rate = 0.7
+	d.linesPerS, d.backlog, d.head, d.standing, d.connsLeast = 3700, 5550, 3, 10, 220
+	d.late = 150 * time.Millisecond
+	d.redial = [2]time.Duration{220 * time.Millisecond, 400 * time.Millisecond}
+	d.proxies = nil
+	for i := range 150 {
+		d.proxies = append(d.proxies, d.zones[i%3])
+	}
+	return d
+}
+
+// blip: most streams between proxies and pilots break at once, and so do the connections for news. Later the endpoints
+// of two zones give way to new ones, one zone after the other.
+func blip(ctx context.Context, w *world, trouble bool) error {
+	if err := w.sleep(ctx, 15); err != nil {
+		return err
+	}
+	if trouble {
+		w.breakStreams(0.8, [2]time.Duration{500 * time.Millisecond, 1900 * time.Millisecond})
+		for _, p := range w.pilots {
+			time.AfterFunc(1200*time.Millisecond, func() { p.relay.breakNews(150 * time.Millisecond) })
+		}
+	}
+	for i, zone := range []string{"b", "c"} {
+		if err := w.sleep(ctx, 30+20*float64(i)); err != nil {
+			return err
+		}
+		if err := w.replace(ctx, zone, "t"); err != nil {
+			return err
+		}
+	}
+	return w.sleep(ctx, 75)
+}
--- a/review/standin/storm.go
+++ b/review/standin/storm.go
@@ -15,8 +15,8 @@
 	kinds := strings.Split(os.Getenv("KINDS"), ",")
 	for time.Since(w.log.start) < 100*time.Second && ctx.Err() == nil && trouble {
 		w.mu.Lock()
-		pause := time.Duration(1500+w.random.Intn(4000)) * time.Millisecond
-		what := w.random.Intn(10)
+		pause := time.Duration(1500+w.random.Intn(2500)) * time.Millisecond
+		what := w.random.Intn(12)
 		if kinds[0] != "" {
 			_, _ = fmt.Sscan(kinds[w.random.Intn(len(kinds))], &what)
 		}
@@ -70,6 +70,10 @@
 				}
 			}
 			w.mu.Unlock()
+		case 10:
+			w.breakStreams(0.5, [2]time.Duration{500 * time.Millisecond, 1900 * time.Millisecond})
+		case 11:
+			victim.relay.breakNews(span / 3)
 		case 9:
 			w.restartSome(zone, span)
 		}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -155,21 +155,25 @@
 	}
 }
 
-// home returns the pilot that a proxy joins: one of its zone if there is one, or any that runs.
+// home returns the pilot that a proxy joins: one of its zone if there is one, or any that runs. Without zones the
+// proxies are dealt evenly. The caller holds the lock.
 func (w *world) home(p *proxy) *pilot {
-	var other *pilot
+	var up []*pilot
 	for _, c := range w.pilots {
-		if !c.up {
-			continue
-		}
-		if c.zone == p.zone && w.d.byZone {
+		if c.up && c.zone == p.zone && w.d.byZone {
 			return c
 		}
-		if other == nil {
-			other = c
+		if c.up {
+			up = append(up, c)
 		}
 	}
-	return other
+	switch {
+	case len(up) == 0:
+		return nil
+	case w.d.byZone:
+		return up[0]
+	}
+	return up[p.number/len(w.d.zones)%len(up)]
 }
 
 // dial joins a proxy to its pilot. The caller holds the lock.
@@ -200,6 +204,33 @@
 	w.redial(p)
 }
 
+// breakStreams breaks a share of the streams at once. Each break is noticed later, and the proxy then dials again.
+func (w *world) breakStreams(share float64, notice [2]time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range w.proxies {
+		if p.relay == nil || w.random.Float64() >= share {
+			continue
+		}
+		r, p := p.relay, p
+		w.log.line("stream of proxy %d to %s breaks", p.number, r.pilot.name)
+		p.joins++ // what is under way to it is lost
+		p.relay = nil
+		clear(p.bare)
+		joins := p.joins
+		time.AfterFunc(notice[0]+time.Duration(w.random.Int63n(int64(notice[1]-notice[0])+1)), func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if p.joins != joins {
+				return
+			}
+			w.log.line("break of proxy %d is noticed", p.number)
+			r.leave(p)
+			w.redial(p)
+		})
+	}
+}
+
 // redial has a proxy dial after the time that it takes. The caller holds the lock.
 func (w *world) redial(p *proxy) {
 	low, high := w.d.redial[0], w.d.redial[1]
