--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -14,13 +14,23 @@
 }
 
 var scenarios = map[string]scenario{
-	"replaced": {docs(9, []string{"a", "b"}), replaced},
+	"replaced": {quiet(docs(9, []string{"a", "b"})), replaced},
 	"returns":  {branch(), returns},
 	"blip":     {checks(), blip},
 	"storm150": {checks(), storm},
+	"crowd":    {crowd(), storm},
+	"cairo":    {advances(), storm},
+	"mixed":    {mixed(), storm},
+	"drain":    {checks(), drainInBreak},
 	"storm":    {docs(15, []string{"a", "b"}), storm},
 }
 
+// quiet lowers the traffic of a deployment to that of quiet hours.
+func quiet(d *deployment) *deployment {
+	d.rate = 1
+	return d
+}
+
 // docs returns a deployment like the small one of the first brief: endpoints in three zones, two pilots and 12 proxies.
 func docs(endpoints int, pilotZones []string) *deployment {
 	d := &deployment{
@@ -179,6 +189,53 @@
 	return d
 }
 
+// crowd returns a deployment with as many proxies as the bench for real pilots has on one day.
+func crowd() *deployment {
+	d := docs(30, []string{"a", "b"})
+	d.rate = 0.3
+	d.proxies = nil
+	for i := range 400 {
+		d.proxies = append(d.proxies, d.zones[i%3])
+	}
+	return d
+}
+
+// advances returns a deployment like the second site: two zones, two pilots, a class that only one kind of machine
+// serves, and a grace of 2 s.
+func advances() *deployment {
+	d := docs(26, []string{"a", "b"})
+	d.zones, d.byZone, d.rate = []string{"a", "b"}, false, 1
+	d.classes[2].onlyKinds = []string{"kind-a"}
+	for i := range d.endpoints {
+		d.endpoints[i].zone = d.zones[i/2%2]
+	}
+	d.linesPerS, d.backlog, d.connsLeast, d.ejects = 3600, 3600, 360, 8
+	d.late, d.lateMost = 420*time.Millisecond, 700*time.Millisecond
+	d.drainGrace, d.emptyFor = 2*time.Second, 3*time.Second
+	d.redial = [2]time.Duration{490 * time.Millisecond, 2400 * time.Millisecond}
+	d.fields = []string{"pending", "svc_ms"}
+	d.proxies = nil
+	for i := range 89 {
+		d.proxies = append(d.proxies, d.zones[i%2])
+	}
+	return d
+}
+
+// mixed returns a deployment whose classes differ in the endpoints that may serve them.
+func mixed() *deployment {
+	d := docs(24, []string{"a", "b"})
+	d.classes[1].ownZone = true
+	d.classes[2].onlyKinds = []string{"kind-b"}
+	for i := range d.endpoints {
+		d.endpoints[i].kind = d.kinds[i/3%2]
+	}
+	d.proxies = nil
+	for i := range 36 {
+		d.proxies = append(d.proxies, d.zones[i%3])
+	}
+	return d
+}
+
 // blip: most streams between proxies and pilots break at once, and so do the connections for news. Later the endpoints
 // of two zones give way to new ones, one zone after the other.
 func blip(ctx context.Context, w *world, trouble bool) error {
@@ -201,3 +258,27 @@
 	}
 	return w.sleep(ctx, 75)
 }
+
+// drainInBreak: most streams between proxies and pilots break at once, and so do the connections for news. Between the
+// break and its being noticed one endpoint of each zone begins to drain.
+func drainInBreak(ctx context.Context, w *world, trouble bool) error {
+	if err := w.sleep(ctx, 15); err != nil {
+		return err
+	}
+	if trouble {
+		w.breakStreams(0.8, [2]time.Duration{500 * time.Millisecond, 1900 * time.Millisecond})
+		for _, p := range w.pilots {
+			time.AfterFunc(1200*time.Millisecond, func() { p.relay.breakNews(150 * time.Millisecond) })
+		}
+	}
+	if err := w.sleep(ctx, 15.4); err != nil {
+		return err
+	}
+	w.status(leaving, "s-03", "s-04", "s-05")
+	if err := w.sleep(ctx, 32); err != nil {
+		return err
+	}
+	w.stopServers("s-03", "s-04", "s-05")
+	w.status(left, "s-03", "s-04", "s-05")
+	return w.sleep(ctx, 50)
+}
--- a/review/standin/storm.go
+++ b/review/standin/storm.go
@@ -74,6 +74,13 @@
 			w.breakStreams(0.5, [2]time.Duration{500 * time.Millisecond, 1900 * time.Millisecond})
 		case 11:
 			victim.relay.breakNews(span / 3)
+		case 12:
+			for range 5 {
+				w.mu.Lock()
+				zone = w.d.zones[w.random.Intn(len(w.d.zones))]
+				w.mu.Unlock()
+				w.restartSome(zone, span)
+			}
 		case 9:
 			w.restartSome(zone, span)
 		}
