--- a/review/standin/list.go
+++ b/review/standin/list.go
@@ -75,6 +75,8 @@
 	pilot    *pilot
 	listener *tracked
 	server   *http.Server
+
+	silentTill time.Time // discovery is down until then
 }
 
 // newAgent starts an agent on a free port.
@@ -93,6 +95,12 @@
 
 func (a *agent) serve(out http.ResponseWriter, request *http.Request) {
 	w := a.world
+	for a.silent() {
+		time.Sleep(pollInterval)
+		if request.Context().Err() != nil {
+			return
+		}
+	}
 	since := -1
 	if text := request.URL.Query().Get("index"); text != "" {
 		since, _ = strconv.Atoi(text)
@@ -109,6 +117,10 @@
 			}
 		}
 	}
+	if a.silent() {
+		resetAnswer(out)
+		return
+	}
 	w.mu.Lock()
 	answer := w.list.since(since)
 	w.mu.Unlock()
@@ -124,6 +136,21 @@
 	}
 }
 
+// silent returns whether discovery is down.
+func (a *agent) silent() bool {
+	a.world.mu.Lock()
+	defer a.world.mu.Unlock()
+	return time.Now().Before(a.silentTill)
+}
+
+// breaks has discovery say nothing for a time.
+func (a *agent) breaks(span time.Duration) {
+	a.world.mu.Lock()
+	defer a.world.mu.Unlock()
+	a.silentTill = time.Now().Add(span)
+	a.world.log.line("discovery of %s says nothing for %v", a.pilot.name, span)
+}
+
 // brief returns the entries of an answer in short.
 func brief(a listAnswer) string {
 	text := ""
--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -14,15 +14,33 @@
 }
 
 var scenarios = map[string]scenario{
-	"replaced": {quiet(docs(9, []string{"a", "b"})), replaced},
-	"returns":  {branch(), returns},
-	"blip":     {checks(), blip},
-	"storm150": {checks(), storm},
-	"crowd":    {crowd(), storm},
-	"cairo":    {advances(), storm},
-	"mixed":    {mixed(), storm},
-	"drain":    {checks(), drainInBreak},
-	"storm":    {docs(15, []string{"a", "b"}), storm},
+	"replaced":   {quiet(docs(9, []string{"a", "b"})), replaced},
+	"returns":    {branch(), returns},
+	"blip":       {checks(), blip},
+	"storm150":   {checks(), storm},
+	"crowd":      {crowd(400, "a", "b"), storm},
+	"cairo":      {advances(), storm},
+	"mixed":      {mixed(), storm},
+	"drain":      {checks(), drainInBreak},
+	"release":    {crowd(150, "a", "b"), release},
+	"release400": {patient(crowd(400, "a", "b")), release},
+	"six400":     {crowd(400, "a", "b"), atOnce(6)},
+	"five400":    {crowd(400, "a", "b"), atOnce(5)},
+	"seven400":   {crowd(400, "a", "b"), atOnce(7)},
+	"all400":     {crowd(400, "a", "a"), atOnce(3)},
+	"all400six":  {crowd(400, "a", "a"), atOnce(6)},
+	"all300":     {crowd(300, "a", "a"), atOnce(3)},
+	"all300six":  {crowd(300, "a", "a"), atOnce(6)},
+	"nine400":    {crowd(400, "a", "b"), atOnce(9)},
+	"three400":   {crowd(400, "a", "b"), atOnce(3)},
+	"nine920":    {fast(crowd(400, "a", "b")), atOnce(9)},
+	"nine240":    {crowd(240, "a", "b", "c"), atOnce(9)},
+	"nine150":    {crowd(150, "a", "b"), atOnce(9)},
+	"join150":    {crowd(150, "a", "b"), joinDay},
+	"join240":    {crowd(240, "a", "b", "c"), joinDay},
+	"herd":       {crowd(240, "a", "b", "c"), herd},
+	"release240": {crowd(240, "a", "b", "c"), release},
+	"storm":      {docs(15, []string{"a", "b"}), storm},
 }
 
 // quiet lowers the traffic of a deployment to that of quiet hours.
@@ -142,7 +160,8 @@
 }
 
 // returns: an endpoint of the small site is switched off for over a minute and on again, then the other one is drained.
-// Meanwhile a new endpoint is switched on at another site.
+// Meanwhile a new endpoint is switched on at another site. The streams of the small site break once in between and return,
+// so that its proxies are bound anew.
 func returns(ctx context.Context, w *world, trouble bool) error {
 	if trouble {
 		if err := w.sleep(ctx, 8); err != nil {
@@ -167,6 +186,16 @@
 			return err
 		}
 	}
+	if err := w.sleep(ctx, 84); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	for _, p := range w.proxies {
+		if p.zone == "c" {
+			w.leave(p, "its stream breaks")
+		}
+	}
+	w.mu.Unlock()
 	if err := w.sleep(ctx, 94); err != nil {
 		return err
 	}
@@ -189,12 +218,18 @@
 	return d
 }
 
-// crowd returns a deployment with as many proxies as the bench for real pilots has on one day.
-func crowd() *deployment {
-	d := docs(30, []string{"a", "b"})
-	d.rate = 0.3
+// patient gives a deployment a grace that suits its many proxies.
+func patient(d *deployment) *deployment {
+	d.drainGrace, d.emptyFor = 6*time.Second, 8*time.Second
+	return d
+}
+
+// crowd returns a deployment with as many proxies as the bench for real pilots has.
+func crowd(proxies int, pilotZones ...string) *deployment {
+	d := docs(30, pilotZones)
+	d.rate = 120 / float64(proxies)
 	d.proxies = nil
-	for i := range 400 {
+	for i := range proxies {
 		d.proxies = append(d.proxies, d.zones[i%3])
 	}
 	return d
@@ -282,3 +317,119 @@
 	w.status(left, "s-03", "s-04", "s-05")
 	return w.sleep(ctx, 50)
 }
+
+// release: half of the endpoints give way to new ones in five steps of one in each zone, while the pilots are restarted one
+// at a time. All proxies come to the pilot that is left.
+func release(ctx context.Context, w *world, trouble bool) error {
+	if err := w.sleep(ctx, 20); err != nil {
+		return err
+	}
+	if trouble {
+		for i, p := range w.pilots {
+			at := 21 + 8*float64(i)
+			go func() {
+				if w.sleep(ctx, at) != nil {
+					return
+				}
+				p.end(syscall.SIGTERM)
+				if w.sleep(ctx, at+2) != nil {
+					return
+				}
+				if err := p.start(ctx); err != nil {
+					w.log.line("start: %v", err)
+				}
+			}()
+		}
+	}
+	return w.steps(ctx)
+}
+
+// herd: half of the endpoints give way to new ones in five steps; in the middle two of three pilots are killed at once.
+func herd(ctx context.Context, w *world, trouble bool) error {
+	if trouble {
+		for _, p := range w.pilots[1:] {
+			go func() {
+				if w.sleep(ctx, 25.5) != nil {
+					return
+				}
+				p.end(syscall.SIGKILL)
+				if w.sleep(ctx, 31) != nil {
+					return
+				}
+				if err := p.start(ctx); err != nil {
+					w.log.line("start: %v", err)
+				}
+			}()
+		}
+	}
+	return w.steps(ctx)
+}
+
+// steps replaces half of the endpoints, in steps of one in each zone, from 20 s on.
+func (w *world) steps(ctx context.Context) error {
+	for step := range 5 {
+		if err := w.sleep(ctx, 20+3*float64(step)); err != nil {
+			return err
+		}
+		var old []string
+		var fresh []member
+		for i := range 3 {
+			old = append(old, fmt.Sprintf("s-%02d", 3*step+i))
+			fresh = append(fresh, member{fmt.Sprintf("t-%02d", 3*step+i), w.d.zones[i], "kind-a"})
+		}
+		if err := w.add(time.Now(), fresh...); err != nil {
+			return err
+		}
+		w.status(leaving, old...)
+		time.AfterFunc(6*time.Second, func() {
+			w.stopServers(old...)
+			w.status(left, old...)
+		})
+	}
+	return w.sleep(ctx, 55)
+}
+
+// atOnce: some endpoints drain at once, as many in each zone.
+func atOnce(count int) func(ctx context.Context, w *world, trouble bool) error {
+	return func(ctx context.Context, w *world, trouble bool) error {
+		if err := w.sleep(ctx, 20); err != nil {
+			return err
+		}
+		if trouble {
+			var names []string
+			for i := range count {
+				names = append(names, fmt.Sprintf("s-%02d", i))
+			}
+			w.status(leaving, names...)
+		}
+		return w.sleep(ctx, 35)
+	}
+}
+
+// fast gives a deployment the fastest channel that the site has.
+func fast(d *deployment) *deployment {
+	d.linesPerS, d.backlog = 920, 1380
+	return d
+}
+
+// joinDay: six in ten endpoints are replaced within 7 s, one after the other.
+func joinDay(ctx context.Context, w *world, trouble bool) error {
+	for i := range 18 {
+		if err := w.sleep(ctx, 20+0.39*float64(i)); err != nil {
+			return err
+		}
+		if !trouble {
+			continue
+		}
+		old := fmt.Sprintf("s-%02d", i)
+		if err := w.add(time.Now(), member{"t" + old[1:], w.d.zones[i%3], "kind-a"}); err != nil {
+			return err
+		}
+		w.status(leaving, old)
+		time.AfterFunc(6*time.Second, func() {
+			w.stopServers(old)
+			w.status(left, old)
+		})
+	}
+	return w.sleep(ctx, 45)
+}
--- a/review/standin/storm.go
+++ b/review/standin/storm.go
@@ -81,6 +81,18 @@
 				w.mu.Unlock()
 				w.restartSome(zone, span)
 			}
+		case 13:
+			victim.agent.breaks(span)
+		case 14: // several signals at once
+			if !up {
+				continue
+			}
+			for range 3 {
+				if err := victim.move(); err != nil {
+					return err
+				}
+				time.Sleep(span / 100)
+			}
 		case 9:
 			w.restartSome(zone, span)
 		}
