--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -40,6 +40,7 @@
 	"join240":    {crowd(240, "a", "b", "c"), joinDay},
 	"herd":       {crowd(240, "a", "b", "c"), herd},
 	"release240": {crowd(240, "a", "b", "c"), release},
+	"far":        {far(), farDrain},
 	"storm":      {docs(15, []string{"a", "b"}), storm},
 }
 
@@ -433,3 +434,49 @@
 	}
 	return w.sleep(ctx, 45)
 }
+
+// far returns a deployment with as many proxies as the bench for real pilots has on one day, and a small third site: two
+// endpoints, so that its proxies start with lines of all sites. Pilot n0 has the proxies of zones a and c, n1 those of b.
+func far() *deployment {
+	d := crowd(400, "a", "b")
+	d.endpoints, d.proxies = nil, nil
+	for i := range 20 {
+		zone := "a"
+		switch {
+		case i >= 18:
+			zone = "c"
+		case i >= 10:
+			zone = "b"
+		}
+		d.endpoints = append(d.endpoints, member{fmt.Sprintf("s-%02d", i), zone, d.kinds[i%2]})
+	}
+	for i := range 400 {
+		zone := "a"
+		switch {
+		case i >= 360:
+			zone = "c"
+		case i >= 230:
+			zone = "b"
+		}
+		d.proxies = append(d.proxies, zone)
+	}
+	return d
+}
+
+// farDrain: two endpoints of zone b drain, and end 12 s later.
+func farDrain(ctx context.Context, w *world, trouble bool) error {
+	if err := w.sleep(ctx, 20); err != nil {
+		return err
+	}
+	if trouble {
+		w.status(leaving, "s-10", "s-11")
+	}
+	if err := w.sleep(ctx, 32); err != nil {
+		return err
+	}
+	if trouble {
+		w.stopServers("s-10", "s-11")
+		w.status(left, "s-10", "s-11")
+	}
+	return w.sleep(ctx, 45)
+}
