--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the stand-ins of the second review into review/bin.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p review/bin
+go build -o review/bin/standin2 ./review/standin2
