--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
 go build -o review/bin/standin2 ./review/standin2
+go build -o review/bin/standin3 ./review/standin3
