--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
 [ -x bin/indigousher ] && [ -x review/bin/standin3 ] || exit 2
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec review/bin/standin3 -case upgrade -trouble=$trouble -record review/8/record.txt
+exec review/bin/standin3 -case keyed -trouble=$trouble -record review/8/record.txt
--- a/review/standin2/agent.go
+++ b/review/standin2/agent.go
@@ -151,6 +151,9 @@
 	answer.Endpoints = a.entries(since)
 	text, _ := json.Marshal(answer)
 	a.told = max(a.told, a.version)
+	if len(answer.Endpoints) > 0 {
+		a.w.log("list asked from %d by %s, answered %d with %d entries", since, request.RemoteAddr, a.version, len(answer.Endpoints))
+	}
 	for _, s := range a.w.servers {
 		a.markTold(s)
 	}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -88,6 +88,7 @@
 		return err
 	}
 	w.mu.Lock()
+	w.log("deployment %+v", w.d)
 	for _, p := range w.proxies {
 		p.join()
 	}
