--- a/review/standin2/scenario.go
+++ b/review/standin2/scenario.go
@@ -457,6 +457,9 @@
 	d.backlog = int(1.5 * d.linesPerS)
 	d.conns = []int{20, 74, 400}[random.IntN(3)]
 	d.coldMs = []float64{10000, 17000}[random.IntN(2)]
+	if seed >= 400 {
+		d.capacity = 160 * 132 / 0.7 / float64(d.endpoints)
+	}
 	if seed < 200 {
 		return
 	}
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -33,6 +33,7 @@
 	conns        int
 	onRequest    bool
 	retryDefault int
+	capacity     float64 // work ms that an endpoint does in one second when warm
 	admission    string
 }
 
@@ -58,7 +59,7 @@
 		proxies: 12, endpoints: 12, ratePerProxy: 6, linesPerS: 800, backlog: 1200, head: 4, lateMs: 150,
 		emptyForMs: 4700, graceMs: 3000, coldMs: 17000, coldFrom: 0.16, fallMs: 1500, fallMultiple: 2.5,
 		maxMessages: 30, windowMs: 10000, standing: 5, instances: 1, cores: 1, conns: 74,
-		admission: "share", retryDefault: 1,
+		admission: "share", retryDefault: 1, capacity: 4000,
 	}
 }
 
@@ -181,7 +182,7 @@
 // mu, but for the start.
 func (w *world) addServer(zone string, fresh int64) *server {
 	s := &server{
-		name: fmt.Sprintf("s-%04x", 0x5be0+w.next*37), zone: zone, status: "active", capacity: 4000,
+		name: fmt.Sprintf("s-%04x", 0x5be0+w.next*37), zone: zone, status: "active", capacity: w.d.capacity,
 		count: map[string]*tally{},
 	}
 	w.next++
