--- a/review/standin2/scenario.go
+++ b/review/standin2/scenario.go
@@ -23,6 +23,7 @@
 		"random":   {nil, playRandom},
 		"move":     {func(d *deployment) { d.endpoints = 60; d.lateMs = 100 }, playMove},
 		"movejoin": {nil, playMoveJoin},
+		"single":   {singleDeployment, playSingle},
 		"retry":    {func(d *deployment) { d.retryDefault = 2 }, func(w *world, _ bool) { w.until(8) }},
 	}
 }
@@ -183,6 +184,30 @@
 	w.until(100)
 }
 
+// singleDeployment is of the size of the bench for real pilots, with all proxies at one pilot and left on their standing
+// tables as far as the pilot likes.
+func singleDeployment(d *deployment) {
+	d.zones = []string{"a", "b", "c"}
+	d.endpoints, d.proxies, d.ratePerProxy, d.standing, d.conns = 30, 150, 2, 10, 400
+}
+
+// playSingle: endpoints drain one by one, now and then, and nothing else happens. It looks for an exclusion that goes out
+// alone and is never acknowledged.
+func playSingle(w *world, trouble bool) {
+	w.until(20)
+	for i := range 8 {
+		if trouble {
+			w.mu.Lock()
+			s := w.servers[w.active()[i%3]]
+			s.status = "leaving"
+			w.agent.change(s)
+			w.mu.Unlock()
+		}
+		w.until(20 + float64(i+1)*(1.1+0.4*float64(i%4)))
+	}
+	w.until(50)
+}
+
 // playRandom plays drawn disruptions of the kinds that the pages name, for a minute.
 func playRandom(w *world, _ bool) {
 	w.until(6)
