--- a/review/standin2/scenario.go
+++ b/review/standin2/scenario.go
@@ -188,7 +188,8 @@
 // tables as far as the pilot likes.
 func singleDeployment(d *deployment) {
 	d.zones = []string{"a", "b", "c"}
-	d.endpoints, d.proxies, d.ratePerProxy, d.standing, d.conns = 30, 150, 2, 10, 400
+	d.endpoints, d.proxies, d.ratePerProxy, d.standing, d.conns = 30, 300, 1, 10, 1000
+	d.linesPerS, d.backlog = 3600, 5400
 }
 
 // playSingle: endpoints drain one by one, now and then, and nothing else happens. It looks for an exclusion that goes out
@@ -213,7 +214,7 @@
 	w.until(6)
 	for w.nowMs() < 65000 {
 		w.mu.Lock()
-		kind := w.random.IntN(19)
+		kind := w.random.IntN(20)
 		size := w.random.Float64()
 		pause := time.Duration((0.05 + 2*w.random.Float64()*w.random.Float64()) * float64(time.Second))
 		w.mu.Unlock()
@@ -278,21 +279,7 @@
 		if size < 0.5 {
 			signal = syscall.SIGKILL
 		}
-		w.pilot.end(signal)
-		w.mu.Lock()
-		for _, p := range w.proxies {
-			p.leave()
-		}
-		w.mu.Unlock()
-		time.Sleep(w.span(0.3, 3))
-		w.mu.Lock()
-		for _, p := range w.proxies {
-			p.rejoinAfter(w.drawSpan(0.05, 2.2))
-		}
-		w.mu.Unlock()
-		if err := w.pilot.begin(); err != nil {
-			fmt.Println(err)
-		}
+		w.restartPilot(signal)
 	case 16: // a zone is lost and returns cold
 		w.mu.Lock()
 		zone := w.d.zones[int(size*float64(len(w.d.zones)))]
@@ -365,12 +352,36 @@
 	case 15: // one connection for news goes silent and is reset later
 		n := w.silenceNews(int(size * 2))
 		time.AfterFunc(time.Duration(2*size*float64(time.Second)), func() { w.resetNews(n) })
+	case 19: // signals in series: two new configurations at once, and the end during the second
+		w.slack(4000, "SIGHUP")
+		w.move()
+		w.pilot.signal(syscall.SIGHUP)
+		w.restartPilot(syscall.SIGTERM)
 	case 12: // a new configuration
 		w.slack(4000, "SIGHUP")
 		w.move()
 	}
 }
 
+// restartPilot ends the pilot, breaks all streams, and starts it again.
+func (w *world) restartPilot(signal syscall.Signal) {
+	w.pilot.end(signal)
+	w.mu.Lock()
+	for _, p := range w.proxies {
+		p.leave()
+	}
+	w.mu.Unlock()
+	time.Sleep(w.span(0.3, 3))
+	w.mu.Lock()
+	for _, p := range w.proxies {
+		p.rejoinAfter(w.drawSpan(0.05, 2.2))
+	}
+	w.mu.Unlock()
+	if err := w.pilot.begin(); err != nil {
+		fmt.Println(err)
+	}
+}
+
 // rejoinAfter lets a proxy join after a while. The caller must hold mu.
 func (p *proxy) rejoinAfter(after time.Duration) {
 	time.AfterFunc(after, func() {
