Review case 10 plays three deployments, so that not all instances ask by chance

Change: three deployments side by side, each with an adapter of its own; the stand-in of the platform ends its pilot on a signal also where its lock is held; scenarios zone and zone2.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -116,7 +116,10 @@
 		case <-asked:
 		case <-time.After(longest):
 		}
-		w.shut()
+		if c := w.pilot.command; c != nil {
+			_ = c.Process.Kill() // without the lock, which whoever hangs may hold
+		}
+		_ = os.RemoveAll(w.pilot.dir)
 		os.Exit(exitUnable)
 	}()
 }
--- a/review/standin2/scenario.go
+++ b/review/standin2/scenario.go
@@ -24,6 +24,8 @@
 		"move":     {func(d *deployment) { d.endpoints = 60; d.lateMs = 100 }, playMove},
 		"movejoin": {nil, playMoveJoin},
 		"single":   {singleDeployment, playSingle},
+		"zone":     {zoneDeployment, playZone},
+		"zone2":    {func(d *deployment) { zoneDeployment(d); d.zones = d.zones[:2]; d.capacity *= 0.6 / 0.72 }, playZone},
 		"retry":    {func(d *deployment) { d.retryDefault = 2 }, func(w *world, _ bool) { w.until(8) }},
 	}
 }
@@ -188,8 +190,7 @@
 // tables as far as the pilot likes.
 func singleDeployment(d *deployment) {
 	d.zones = []string{"a", "b", "c"}
-	d.endpoints, d.proxies, d.ratePerProxy, d.standing, d.conns = 30, 300, 1, 10, 1000
-	d.linesPerS, d.backlog = 3600, 5400
+	d.endpoints, d.proxies, d.ratePerProxy, d.standing, d.conns = 30, 400, 1, 10, 1000
 }
 
 // playSingle: endpoints drain one by one, now and then, and nothing else happens. It looks for an exclusion that goes out
@@ -204,9 +205,25 @@
 			w.agent.change(s)
 			w.mu.Unlock()
 		}
-		w.until(20 + float64(i+1)*(1.1+0.4*float64(i%4)))
+		w.until(20 + float64(i+1)*5)
 	}
-	w.until(50)
+	w.until(66)
+}
+
+// zoneDeployment has three zones and a load of 0.6.
+func zoneDeployment(d *deployment) {
+	d.zones = []string{"a", "b", "c"}
+	d.endpoints, d.proxies, d.ratePerProxy = 24, 24, 160.0/24
+	d.capacity = 160 * 132 / 0.6 / 24
+}
+
+// playZone: a zone is lost with its endpoints and proxies for 5 s and returns cold.
+func playZone(w *world, trouble bool) {
+	w.until(20)
+	if trouble {
+		w.loseZone(0.5)
+	}
+	w.until(45)
 }
 
 // playRandom plays drawn disruptions of the kinds that the pages name, for a minute.
@@ -281,40 +298,7 @@
 		}
 		w.restartPilot(signal)
 	case 16: // a zone is lost and returns cold
-		w.mu.Lock()
-		zone := w.d.zones[int(size*float64(len(w.d.zones)))]
-		var numbers []int
-		for i, p := range w.proxies {
-			if p.zone == zone {
-				numbers = append(numbers, i)
-			}
-		}
-		var lost []*server
-		for _, s := range w.servers {
-			if s.zone == zone && s.status == "active" && len(w.d.zones) > 1 {
-				s.status = "left"
-				lost = append(lost, s)
-			}
-		}
-		if len(lost) > 0 {
-			w.agent.change(lost...)
-		}
-		w.mu.Unlock()
-		w.breakStreams(numbers, func(int) time.Duration { return 5 * time.Second }, true)
-		time.AfterFunc(5*time.Second, func() {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			for _, s := range lost {
-				s.status = "active"
-				s.sinceMs = time.Now().UnixMilli()
-				s.startedMs = w.nowMs()
-				s.freshAt = 0
-				s.sent = nil
-			}
-			if len(lost) > 0 {
-				w.agent.change(lost...)
-			}
-		})
+		w.loseZone(size)
 	case 17: // many endpoints give way at once
 		w.mu.Lock()
 		names := w.active()
@@ -382,6 +366,44 @@
 	}
 }
 
+// loseZone takes a zone away, endpoints and proxies, and brings it back cold after 5 s.
+func (w *world) loseZone(size float64) {
+	w.mu.Lock()
+	zone := w.d.zones[int(size*float64(len(w.d.zones)))]
+	var numbers []int
+	for i, p := range w.proxies {
+		if p.zone == zone {
+			numbers = append(numbers, i)
+		}
+	}
+	var lost []*server
+	for _, s := range w.servers {
+		if s.zone == zone && s.status == "active" && len(w.d.zones) > 1 {
+			s.status = "left"
+			lost = append(lost, s)
+		}
+	}
+	if len(lost) > 0 {
+		w.agent.change(lost...)
+	}
+	w.mu.Unlock()
+	w.breakStreams(numbers, func(int) time.Duration { return 5 * time.Second }, true)
+	time.AfterFunc(5*time.Second, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, s := range lost {
+			s.status = "active"
+			s.sinceMs = time.Now().UnixMilli()
+			s.startedMs = w.nowMs()
+			s.freshAt = 0
+			s.sent = nil
+		}
+		if len(lost) > 0 {
+			w.agent.change(lost...)
+		}
+	})
+}
+
 // rejoinAfter lets a proxy join after a while. The caller must hold mu.
 func (p *proxy) rejoinAfter(after time.Duration) {
 	time.AfterFunc(after, func() {
--- a/review/standin4/main.go
+++ b/review/standin4/main.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -93,9 +94,10 @@
 
 // simulator plays the case.
 type simulator struct {
+	number  int // of the deployment
 	in      io.Writer
 	out     *bufio.Reader
-	record  *os.File
+	record  io.Writer
 	start   time.Time
 	batch   int
 	pilots  map[string]*pilot
@@ -131,16 +133,51 @@
 		fmt.Println("could not run:", err)
 		os.Exit(exitUnable)
 	}
-	code, err := play(*run, *trouble, record)
-	if err != nil {
-		fmt.Println("could not run:", err)
-		code = exitUnable
+	os.Exit(playAll(*run, *trouble, &lockedWriter{out: record}))
+}
+
+// deployments is the number of deployments that are played side by side, each with an adapter of its own.
+const deployments = 3
+
+// lockedWriter lets several deployments write one record.
+type lockedWriter struct {
+	mu  sync.Mutex
+	out io.Writer
+}
+
+// Write writes a line.
+func (w *lockedWriter) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.Write(line)
+}
+
+// playAll plays all deployments and returns the exit code: broken if one of them broke the rule.
+func playAll(run string, trouble bool, record io.Writer) int {
+	codes := make([]int, deployments)
+	var playing sync.WaitGroup
+	for number := range deployments {
+		playing.Go(func() {
+			code, err := play(run, trouble, number, record)
+			if err != nil {
+				fmt.Println("could not run:", err)
+				code = exitUnable
+			}
+			codes[number] = code
+		})
 	}
-	os.Exit(code)
+	playing.Wait()
+	switch {
+	case slices.Contains(codes, exitUnable):
+		return exitUnable
+	case slices.Contains(codes, exitBroken):
+		return exitBroken
+	}
+	return exitKept
 }
 
 // play starts the adapter, plays the case and returns the exit code.
-func play(run string, trouble bool, record *os.File) (int, error) {
+func play(run string, trouble bool, number int, record io.Writer) (int, error) {
 	c := exec.Command("/bin/sh", "-c", run)
 	in, err := c.StdinPipe()
 	if err != nil {
@@ -159,7 +196,7 @@
 		_ = c.Process.Kill()
 		_ = c.Wait()
 	}()
-	s := &simulator{in: in, out: bufio.NewReaderSize(out, 1<<20), record: record, start: time.Now(), pilots: map[string]*pilot{}}
+	s := &simulator{number: number, in: in, out: bufio.NewReaderSize(out, 1<<20), record: record, start: time.Now(), pilots: map[string]*pilot{}}
 	s.spawnAll()
 	for s.nowMs() < endAt {
 		if trouble && !s.drained && s.nowMs() >= drainAt {
@@ -180,7 +217,7 @@
 func (s *simulator) clock() int64 { return 8_000_000_000 + int64(time.Since(s.start)) }
 
 func (s *simulator) log(format string, args ...any) {
-	_, _ = fmt.Fprintf(s.record, "%9.1f %s\n", s.nowMs(), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(s.record, "%9.1f deployment %d: %s\n", s.nowMs(), s.number, fmt.Sprintf(format, args...))
 }
 
 func (s *simulator) event(format string, args ...any) {
@@ -197,7 +234,7 @@
 		s.pilots[p.name] = p
 		s.names = append(s.names, p.name)
 		setup := strings.ReplaceAll(strings.Replace(settings, `"rank":0`, fmt.Sprintf(`"rank":%d`, i), 1), "\n", "")
-		s.event(`{"kind":"spawn","i":%q,"rng_seed":%d,"setup":%s}`, p.name, i+1, setup)
+		s.event(`{"kind":"spawn","i":%q,"rng_seed":%d,"setup":%s}`, p.name, 10*s.number+i+1, setup)
 		s.event(`{"kind":"discovery","i":%q,"mode":"warm_copy","epoch":41,"hosts":[%s]}`, p.name, s.list())
 		for j := range 2 {
 			x := &proxy{edge: 2*i + j, standing: s.hosts[:5], out: map[string]bool{}}
@@ -406,11 +443,10 @@
 			never++
 		}
 	}
-	fmt.Printf("%d of %d instances never asked discovery; %d late requests\n", never, instances, s.late)
+	fmt.Printf("deployment %d: %d of %d instances never asked discovery; %d late requests\n", s.number, never, instances, s.late)
 	if s.late > 0 {
 		fmt.Println("broken:", s.broken[0])
 		return exitBroken
 	}
-	fmt.Println("kept")
 	return exitKept
 }
