--- a/review/standin2/scenario.go
+++ b/review/standin2/scenario.go
@@ -25,8 +25,14 @@
 		"movejoin": {nil, playMoveJoin},
 		"single":   {singleDeployment, playSingle},
 		"zone":     {zoneDeployment, playZone},
-		"zone2":    {func(d *deployment) { zoneDeployment(d); d.zones = d.zones[:2]; d.capacity *= 0.6 / 0.72 }, playZone},
-		"retry":    {func(d *deployment) { d.retryDefault = 2 }, func(w *world, _ bool) { w.until(8) }},
+		"zone3": {func(d *deployment) {
+			zoneDeployment(d)
+			d.endpoints, d.proxies = 30, 150
+			d.ratePerProxy = 4.2
+			d.capacity = 4000
+		}, playZone},
+		"zone2": {func(d *deployment) { zoneDeployment(d); d.zones = d.zones[:2]; d.capacity *= 0.6 / 0.72 }, playZone},
+		"retry": {func(d *deployment) { d.retryDefault = 2 }, func(w *world, _ bool) { w.until(8) }},
 	}
 }
 
