Review case 8 plays the platform's pilot; cases 9 and 10 change places

Cause: the deploy file starts no pilot with HCL settings, and the same fault is in the platform's way in; a case whose program the deploy file starts goes before one whose program it only builds. Change: review/8 orders a class that must never run twice to be tried again (standin2 -case retry, with slow endpoints and repeats); the uniqued class stays as standin3 -case keyed; ids of the simulator's endpoints are loopback addresses.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,8 +1,9 @@
 #!/bin/sh
-# Plays the case with the program that the deploy file builds. Exit status: 1 the rule was broken, 0 it held, 2 it could
+# Plays the case with the simulator's adapter of the deploy file. Exit status: 1 the rule was broken, 0 it held, 2 it could
 # not run. TROUBLE=0 plays the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x bin/indigousher ] && [ -x review/bin/standin3 ] || exit 2
+run=$(sed -n 's/^sim = "\([^"]*\)".*/\1/p' deploy/balancer.toml)
+[ -n "$run" ] && [ -x bin/simhost ] && [ -x review/bin/standin4 ] || exit 2
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec review/bin/standin3 -case upgrade -trouble=$trouble -record review/9/record.txt
+exec review/bin/standin4 -trouble=$trouble -run "$run" -record review/9/record.txt
--- a/review/standin2/proxy.go
+++ b/review/standin2/proxy.go
@@ -171,9 +171,45 @@
 		return
 	}
 	p.counts[c.name] = n
-	w.send(p, c, w.servers[name])
+	w.numbered++
+	if s := w.servers[name]; w.send(p, c, s, w.numbered) {
+		return
+	}
+	p.tryAgain(c, name, w.numbered)
+}
+
+// tryAgain resends a request that may have run but was not answered in time, if the proxy's table says so, or if it says
+// nothing and that is what proxies usually do. The caller must hold mu.
+func (p *proxy) tryAgain(c class, tried string, request int) {
+	w := p.w
+	mode, ordered := p.use[c.name].retry[c.name]
+	if !ordered {
+		mode = w.d.retryDefault
+	}
+	if mode < 2 || w.servers[tried].mode != "slow" {
+		return
+	}
+	time.AfterFunc(time.Duration(firstWait*c.aimMs*float64(time.Millisecond)), func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for range 20 {
+			name := p.pick(c.name)
+			if name == "" || name == tried {
+				continue
+			}
+			w.log("request %d of proxy %d %s is sent again: mode %d, ordered %v", request, p.number, c.name, mode, ordered)
+			if w.send(p, c, w.servers[name], request) && ordered && c.idempotency == "non_idempotent" {
+				w.breakRule("duplicate", "", "request %d of %s ran at %s and at %s: its pilot orders retry %d", request, c.name, tried,
+					name, mode)
+			}
+			return
+		}
+	})
 }
 
+// firstWait is how long a try waits which another may follow, as a part of the aim.
+const firstWait = 0.8
+
 // drawClass draws a class by share. The caller must hold mu.
 func (w *world) drawClass() class {
 	left := w.random.Float64()
@@ -185,9 +221,9 @@
 	return w.d.classes[0]
 }
 
-// send passes a request to an endpoint, checks the rules on drains and on cold endpoints, and counts the answer. The
-// caller must hold mu.
-func (w *world) send(p *proxy, c class, s *server) {
+// send passes a request to an endpoint, checks the rules on drains and on cold endpoints, and counts the answer. It
+// returns whether the request was answered in time; a slow endpoint runs it and answers later. The caller must hold mu.
+func (w *world) send(p *proxy, c class, s *server, request int) bool {
 	w.requests["sent"]++
 	t := s.count[p.zone]
 	if t == nil {
@@ -209,5 +245,9 @@
 		p.counts[c.name] = n
 		w.requests["failed"]++
 	}
+	if ok || s.mode == "slow" {
+		w.log("request %d ran at %s", request, s.name)
+	}
 	w.log("request of proxy %d %s to %s %s ok %v", p.number, c.name, s.name, s.status, ok)
+	return ok
 }
--- a/review/standin2/relay.go
+++ b/review/standin2/relay.go
@@ -422,11 +422,7 @@
 		}
 	}
 	set(r.table(number))
-	for _, c := range r.w.d.classes {
-		if c.idempotency != "read_like" && retry > 1 && slices.Contains(names, c.name) {
-			r.w.breakRule("duplicate", c.name, "LIMIT with retry %d", retry)
-		}
-	}
+	r.w.log("order LIMIT %d %v level %.2f retry %d", number, names, level, retry)
 	for _, p := range r.users(number) {
 		r.add(messages, p, func(p *proxy) {
 			if t := p.current[number]; t != nil {
--- a/review/standin2/scenario.go
+++ b/review/standin2/scenario.go
@@ -32,7 +32,7 @@
 			d.capacity = 4000
 		}, playZone},
 		"zone2": {func(d *deployment) { zoneDeployment(d); d.zones = d.zones[:2]; d.capacity *= 0.6 / 0.72 }, playZone},
-		"retry": {func(d *deployment) { d.retryDefault = 2 }, func(w *world, _ bool) { w.until(8) }},
+		"retry": {func(d *deployment) { d.retryDefault = 2 }, playRetry},
 	}
 }
 
@@ -232,6 +232,19 @@
 	w.until(45)
 }
 
+// playRetry: one of twelve endpoints becomes slow; it runs what it takes. Without trouble none does.
+func playRetry(w *world, trouble bool) {
+	w.until(10)
+	if trouble {
+		w.mu.Lock()
+		s := w.servers[w.active()[0]]
+		s.mode = "slow"
+		w.log("%s becomes slow", s.name)
+		w.mu.Unlock()
+	}
+	w.until(25)
+}
+
 // playRandom plays drawn disruptions of the kinds that the pages name, for a minute.
 func playRandom(w *world, _ bool) {
 	w.until(6)
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -81,6 +81,7 @@
 	seen     map[string]bool
 	slacks   []slack // what time limits wait because of disruptions, as the pages say
 	requests map[string]int
+	numbered int // requests that were sent
 }
 
 func newWorld(d deployment, record *os.File, seed uint64) *world {
@@ -156,7 +157,7 @@
 	sinceMs   int64  // wall clock, 0: long ago
 	startedMs float64
 	capacity  float64 // work ms that it does in one second when warm
-	mode      string  // "", "hang", "fail"
+	mode      string  // "", "hang", "slow"
 	version   int     // version of the list with its last change
 	drainedAt float64 // when it was made leaving or left, 0: not
 	toldAt    float64 // when the pilot was told of that, 0: not yet
--- a/review/standin4/main.go
+++ b/review/standin4/main.go
@@ -227,7 +227,7 @@
 // spawnAll starts the instances with their last list and joins two proxies to each.
 func (s *simulator) spawnAll() {
 	for i := range 6 {
-		s.hosts = append(s.hosts, fmt.Sprintf("10.18.74.%d:11203", i+1))
+		s.hosts = append(s.hosts, fmt.Sprintf("127.18.74.%d:11203", i+1))
 	}
 	for i := range instances {
 		p := &pilot{name: fmt.Sprintf("pilot/%d", i), tables: map[int]map[string]float64{}, out: map[string]bool{}}
