--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -308,6 +308,9 @@
 	for _, c := range w.pilots {
 		_ = c.Process.Kill()
 	}
+	for _, c := range w.pilots {
+		_ = c.Wait() // returns at once for one that was waited for before
+	}
 	logs, _ := filepath.Glob(filepath.Join(w.dir, "*.log"))
 	for _, path := range logs {
 		text, _ := os.ReadFile(path)
