--- a/internal/platform/relay/event.go
+++ b/internal/platform/relay/event.go
@@ -82,15 +82,21 @@
 	}
 }
 
-// mayHaveReconnected reports whether a proxy that was connected before a gap in the events, and is announced in the
-// snapshot after it, may have reconnected during the gap. This is so if the gap was longer than maxShortGap or the
-// event says that the proxy has just started. It is not so if this snapshot has announced the proxy before, or if the
-// other subscription announced it after this one opened, as happens at startup, when both subscriptions announce all
-// proxies.
+// mayHaveReconnected reports whether a proxy that is known as connected, and is announced on the subscription, may have
+// opened a new stream without a "left" event. It is not so if the other subscription announced the proxy after this one
+// opened, as happens at startup, when both subscriptions announce all proxies.
+//
+// After the snapshot, an announcement always means a new stream: if the proxy had been in the snapshot, this subscription
+// would have reported that it left. Within the snapshot, the announcement may repeat a stream that is known. It may be a
+// new one only if there was a gap before the snapshot that was longer than maxShortGap, or if the event says that the
+// proxy has just started, and if this snapshot has not announced the proxy before.
 func (sub *subscription) mayHaveReconnected(proxy int, current *connectedProxy, cold bool) bool {
 	if current.announcedAt.After(sub.openedAt) {
 		return false
 	}
+	if sub.state == live {
+		return true
+	}
 	if sub.state != receivingSnapshot || !sub.afterGap || sub.announced[proxy] {
 		return false
 	}
--- a/internal/platform/relay/eventstream_test.go
+++ b/internal/platform/relay/eventstream_test.go
@@ -51,6 +51,13 @@
 	events.completeUntil = events.completeUntil.Add(-time.Minute)
 }
 
+// openedLongAgo makes the times at which the subscriptions opened a minute earlier.
+func openedLongAgo(_ *testing.T, events *EventStream) {
+	for i := range events.subscriptions {
+		events.subscriptions[i].openedAt = events.subscriptions[i].openedAt.Add(-time.Minute)
+	}
+}
+
 // TestEventSequence checks that the events of two subscriptions are merged into one sequence without duplicates, and
 // which events are inferred from the snapshot after a gap.
 func TestEventSequence(t *testing.T) {
@@ -86,7 +93,7 @@
 		"one subscription disconnects": {
 			[]step{
 				open(0), open(1), receive(0, joined(1, true)), receive(0, joined(2, true)), finishSnapshot(0), finishSnapshot(1),
-				closeFirst, receive(1, left(2)), open(0), receive(0, joined(1, false)), finishSnapshot(0),
+				openedLongAgo, closeFirst, receive(1, left(2)), open(0), receive(0, joined(1, false)), finishSnapshot(0),
 			},
 			[]string{"joined 1", "joined 2", "left 2"},
 		},
@@ -111,6 +118,13 @@
 			},
 			[]string{"joined 1", "joined 2", "joined 2"},
 		},
+		"review case 6: proxy that was missing from the snapshot connects while the other subscription is silent": {
+			[]step{
+				open(0), open(1), receive(0, joined(1, true)), receive(1, joined(1, true)), finishSnapshot(0), finishSnapshot(1),
+				openedLongAgo, closeFirst, open(0), finishSnapshot(0), receive(0, joined(1, false)),
+			},
+			[]string{"joined 1", "resumed 1"},
+		},
 		"incomplete snapshot removes no proxy": {
 			[]step{
 				open(0), receive(0, joined(1, true)), finishSnapshot(0), closeFirst, longGap,
