Relay events: a subscription that ends without a word since the other opened reveals a gap

Proxies whose streams broke then were never bound again, and refused every request once their old endpoints were gone. The log named no gap.

Cause: a subscription counts as live for 1.3 s after its last data, so the opening of the other one made no gap; EventStream.unsubscribed looked back only if the silent one timed out, not if it was reset or closed. A change of the relay's address trusted an old subscription in the same way.

After a change of the address the old subscription stays until it has received such data. unsubscribed no longer takes the cause of the end: its test becomes TestEndedSubscriptionReopensTheOther, which checks the old case and two more.

--- a/internal/platform/relay/counters.go
+++ b/internal/platform/relay/counters.go
@@ -12,6 +12,7 @@
 	// Calls with commands, the failed ones among them, and empty calls, which test whether the relay responds.
 	Calls, FailedCalls, Probes atomic.Int64
 
-	// Events about proxies, counted on each subscription, and gaps in which no subscription received events.
-	Events, Gaps atomic.Int64
+	// Events about proxies, counted on each subscription, and gaps in which no subscription received events. LateGaps
+	// counts the gaps that were detected only after the next subscription had opened.
+	Events, Gaps, LateGaps atomic.Int64
 }
--- a/internal/platform/relay/event.go
+++ b/internal/platform/relay/event.go
@@ -31,6 +31,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.subscriptions[i].lastReceived = time.Now()
+	s.cancelAtOldAddress()
 	if e.Type == "" || e.Object.Node == nil {
 		return nil // a keepalive
 	}
--- a/internal/platform/relay/eventstream.go
+++ b/internal/platform/relay/eventstream.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"time"
 
@@ -60,7 +59,8 @@
 }
 
 // SetAddress changes the relay's address. The first subscription reconnects immediately. The second one reconnects
-// after the first has received its snapshot at the new address (endSnapshot), so that there is no gap in the events.
+// after the first has received its snapshot at the new address (cancelAtOldAddress), so that there is no gap in the
+// events.
 func (s *EventStream) SetAddress(address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -96,7 +96,7 @@
 	s.mu.Unlock()
 	err := s.receive(ctx, address, i)
 	cancel()
-	s.unsubscribed(i, errors.Is(err, os.ErrDeadlineExceeded))
+	s.unsubscribed(i)
 	return err
 }
 
--- a/internal/platform/relay/eventstream_test.go
+++ b/internal/platform/relay/eventstream_test.go
@@ -31,8 +31,8 @@
 // open opens subscription i.
 func open(i int) step { return func(_ *testing.T, events *EventStream) { events.subscribed(i) } }
 
-// closeFirst ends the first subscription by a closed connection, not by a timeout.
-func closeFirst(_ *testing.T, events *EventStream) { events.unsubscribed(0, false) }
+// closeFirst ends the first subscription by a closed connection or a timeout.
+func closeFirst(_ *testing.T, events *EventStream) { events.unsubscribed(0) }
 
 // finishSnapshot ends the snapshot of subscription i.
 func finishSnapshot(i int) step {
--- a/internal/platform/relay/snapshot.go
+++ b/internal/platform/relay/snapshot.go
@@ -66,9 +66,7 @@
 	}
 	sub.state = live
 	sub.announced = nil
-	if sub.address == s.address {
-		s.cancelAtOldAddress()
-	}
+	s.cancelAtOldAddress()
 	for _, proxy := range missing {
 		delete(s.proxies, proxy)
 		_ = s.inbox.Post(ctx, controller.RelayProxyLeft{Proxy: proxy}) // fails only after ctx was cancelled
@@ -88,13 +86,28 @@
 }
 
 // cancelAtOldAddress closes the subscriptions at a previous address of the relay, which then reconnect at the current
-// one. They are closed only after another subscription has received its snapshot at the current address, so that there
-// is no gap in the events. The caller holds mu.
+// one. Each is closed only after another subscription has received its snapshot at the current address and the old one
+// has delivered all events up to its opening, so that there is no gap in the events. The caller holds mu.
 func (s *EventStream) cancelAtOldAddress() {
 	for j := range s.subscriptions {
-		other := &s.subscriptions[j]
-		if other.address != s.address && other.cancel != nil {
-			other.cancel()
+		old := &s.subscriptions[j]
+		if old.address != s.address && old.cancel != nil && s.isReplaced(old) {
+			old.cancel()
+		}
+	}
+}
+
+// isReplaced reports whether a subscription at the current address has received its snapshot and continues the events
+// of an old one without a gap. The caller holds mu.
+func (s *EventStream) isReplaced(old *subscription) bool {
+	for i := range s.subscriptions {
+		sub := &s.subscriptions[i]
+		if sub.address != s.address || sub.state != live {
+			continue
+		}
+		if old.state == disconnected || sub.afterGap || old.coversOpeningOf(sub) {
+			return true
 		}
 	}
+	return false
 }
--- a/internal/platform/relay/subscription.go
+++ b/internal/platform/relay/subscription.go
@@ -12,6 +12,8 @@
 	// liveTimeout is the time without data after which a subscription is considered broken. The relay sends keepalives
 	// every second.
 	liveTimeout = 1300 * time.Millisecond
+	// maxDeliveryDelay is the longest time for which data of a live subscription may be in transit or wait to be handled.
+	maxDeliveryDelay = 200 * time.Millisecond
 	// maxShortGap is the length of a gap up to which no proxy can have disconnected and reconnected, because
 	// reconnecting takes longer.
 	maxShortGap = 300 * time.Millisecond
@@ -90,11 +92,11 @@
 	return false
 }
 
-// unsubscribed records that subscription i has ended. timedOut means that it ended because no data arrived within
-// silenceTimeout. The other subscription must reconnect to receive a new snapshot if it may have missed events too.
-// That is so in two cases: it opened after i last received data, so neither received the events in between; or i ended
-// within a snapshot after a gap, so the events missed in the gap are still unknown.
-func (s *EventStream) unsubscribed(i int, timedOut bool) {
+// unsubscribed records that subscription i has ended, for whatever reason. The other subscription must reconnect to
+// receive a new snapshot if it may have missed events too. That is so in two cases: it opened so late that i may not have
+// delivered the events before its opening; or i ended within a snapshot after a gap, so the events missed in the gap are
+// still unknown.
+func (s *EventStream) unsubscribed(i int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sub := &s.subscriptions[i]
@@ -111,10 +113,26 @@
 		if j == i || other.state == disconnected || other.afterGap {
 			continue
 		}
-		openedDuringSilence := timedOut && other.openedAt.After(sub.lastReceived)
-		if snapshotIncomplete || openedDuringSilence {
-			other.disconnect()
-			other.cancel()
+		if snapshotIncomplete || !sub.coversOpeningOf(other) {
+			s.reopen(j, sub)
 		}
 	}
 }
+
+// coversOpeningOf reports whether the subscription has certainly delivered all events up to the time when another one
+// opened. An open connection does not prove this, because it may have lost its peer unnoticed; data that was sent after
+// the opening does.
+func (sub *subscription) coversOpeningOf(other *subscription) bool {
+	return sub.lastReceived.After(other.openedAt.Add(maxDeliveryDelay))
+}
+
+// reopen closes subscription j, so that it reconnects and receives a snapshot after a gap. The gap was detected only when
+// the subscription ended that was to cover the opening of j. The caller holds mu.
+func (s *EventStream) reopen(j int, ended *subscription) {
+	sub := &s.subscriptions[j]
+	s.Counters.LateGaps.Add(1)
+	s.log.Warn("event stream opened in an unnoticed gap", zap.Int("stream", j),
+		zap.Duration("silence", sub.openedAt.Sub(ended.lastReceived)))
+	sub.disconnect()
+	sub.cancel()
+}
--- a/internal/platform/relay/subscription_test.go
+++ b/internal/platform/relay/subscription_test.go
@@ -9,17 +9,57 @@
 	"go.uber.org/zap"
 )
 
-// TestSilentSubscriptionReopensTheOther checks that if one subscription times out, the other one is reopened if it
-// opened after the first last received data. Neither has delivered the events in between.
-func TestSilentSubscriptionReopensTheOther(t *testing.T) {
-	events := NewEventStream("", &inbox{}, &Counters{}, zap.NewNop())
+// TestEndedSubscriptionReopensTheOther checks that if one subscription ends, the other one is reopened if it opened after
+// the first last received data: neither has delivered the events in between. Review case 6: it was not reopened if the
+// first one ended by a reset. Data received within maxDeliveryDelay may have been sent before the other one opened.
+func TestEndedSubscriptionReopensTheOther(t *testing.T) {
+	for name, c := range map[string]struct {
+		receivedAfter time.Duration // from the opening of the other one to the last data of the one that ends
+		reopened      bool
+	}{
+		"received nothing after the opening":   {-time.Millisecond, true},
+		"received data that may be older":      {maxDeliveryDelay / 2, true},
+		"received data sent after the opening": {2 * maxDeliveryDelay, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			events := NewEventStream("", &inbox{}, &Counters{}, zap.NewNop())
+			cancelled := 0
+			events.subscriptions[0].cancel = func() {}
+			events.subscriptions[1].cancel = func() { cancelled++ }
+			events.subscribed(0)
+			events.endSnapshot(context.Background(), 0)
+			events.subscribed(1)
+			events.subscriptions[0].lastReceived = events.subscriptions[1].openedAt.Add(c.receivedAfter)
+			events.unsubscribed(0)
+			assert.Equal(t, c.reopened, cancelled == 1)
+			assert.Equal(t, c.reopened, events.Counters.LateGaps.Load() == 1)
+		})
+	}
+}
+
+// TestOldAddressKeptUntilComplete checks that after a change of the relay's address the subscription at the old one stays
+// open until it has delivered all events up to the opening of the new one. It was closed once the new one had its
+// snapshot, although it may have been silent.
+func TestOldAddressKeptUntilComplete(t *testing.T) {
+	events := NewEventStream("old", &inbox{}, &Counters{}, zap.NewNop())
 	cancelled := 0
+	for i := range events.subscriptions {
+		events.subscriptions[i].address = "old"
+		events.subscribed(i)
+		events.endSnapshot(context.Background(), i)
+	}
 	events.subscriptions[0].cancel = func() {}
 	events.subscriptions[1].cancel = func() { cancelled++ }
+	openedLongAgo(t, events)
+	events.SetAddress("new")
+	events.unsubscribed(0)
+	events.subscriptions[0].address = "new"
 	events.subscribed(0)
 	events.endSnapshot(context.Background(), 0)
-	time.Sleep(time.Millisecond)
-	events.subscribed(1)
-	events.unsubscribed(0, true)
+	assert.Zero(t, cancelled, "the old subscription has not delivered the events up to the opening of the new one")
+	receive(1, "{}")(t, events)
+	assert.Zero(t, cancelled, "what it received may have been sent earlier")
+	events.subscriptions[0].openedAt = events.subscriptions[0].openedAt.Add(-2 * maxDeliveryDelay)
+	receive(1, "{}")(t, events)
 	assert.Equal(t, 1, cancelled)
 }
--- a/internal/platform/report.go
+++ b/internal/platform/report.go
@@ -46,6 +46,7 @@
 		zap.Int64("probes", c.Probes.Load()),
 		zap.Int64("events", c.Events.Load()),
 		zap.Int64("gaps", c.Gaps.Load()),
+		zap.Int64("late_gaps", c.LateGaps.Load()),
 	}
 }
 
