Discovery: a list's version is recorded once it was posted, and a change of address drops none

Cause: Client.deliver recorded the version and then posted the list with the call's context, which SetAddress ends. Loop.Post chooses at random between room and an ended context; a list that it refused counted as held, and the new address was asked only for what is newer.

Change: a list that was read is posted with the context of Run, and its version is recorded after that. A Fetch is likewise owed until a whole list was posted (it was forgotten when sent).

--- a/internal/platform/discovery/client.go
+++ b/internal/platform/discovery/client.go
@@ -23,14 +23,15 @@
 	mu sync.Mutex // guards the fields below
 
 	// Desired state.
-	address    string
-	watching   bool               // keep requesting changes to the list
-	fetch      bool               // request the whole list once
-	cancelCall context.CancelFunc // cancels the request or wait in progress; nil before Run
+	address          string
+	watching         bool               // keep requesting changes to the list
+	fetchesRequested int                // number of calls of Fetch
+	cancelCall       context.CancelFunc // cancels the request or wait in progress; nil before Run
 
 	// Actual state.
-	hasList bool // a list was posted and changes relative to version can be requested
-	version int  // version of the last received list
+	hasList       bool // a list was posted and changes relative to version can be requested
+	version       int  // version of the last posted list
+	fetchesServed int  // number of calls of Fetch before the request for the last posted whole list
 }
 
 // New returns a client that is idle until Run is called. If watch is true, it watches the list from the start,
@@ -47,14 +48,17 @@
 	c.signal()
 }
 
-// Fetch requests the whole list once, even if the client is not watching.
+// Fetch requests the whole list once, even if the client is not watching. The request is repeated until it is answered.
 func (c *Client) Fetch() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.fetch = true
+	c.fetchesRequested++
 	c.signal()
 }
 
+// fetchPending reports whether Fetch was called after the request for the last posted whole list. The caller holds mu.
+func (c *Client) fetchPending() bool { return c.fetchesServed < c.fetchesRequested }
+
 // SetAddress changes the address of the discovery agent. A request in flight is cancelled. The list's version is kept,
 // so the next request at the new address asks only for changes.
 func (c *Client) SetAddress(address string) {
--- a/internal/platform/discovery/client_test.go
+++ b/internal/platform/discovery/client_test.go
@@ -92,3 +92,73 @@
 	client.Watch(true)
 	eventually(t, func() bool { return len(s.requestedPaths()) > 2 })
 }
+
+// movingInbox is an inbox that changes the client's address while a list is being posted. It refuses a list whose context
+// has ended, as controller.Loop may even if it has room.
+type movingInbox struct {
+	inbox
+	version int    // list during which move is called, once
+	move    func() // changes the client's address
+	once    sync.Once
+}
+
+func (b *movingInbox) Post(ctx context.Context, in controller.Input) error {
+	if listed, ok := in.(controller.EndpointsListed); ok && listed.List.Version == b.version {
+		b.once.Do(b.move)
+	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	return b.inbox.Post(ctx, in)
+}
+
+// TestListPostedDuringSetAddress guards against review case 7: changes that arrived while the address changed were dropped,
+// and were not requested again, because their version had been recorded before.
+func TestListPostedDuringSetAddress(t *testing.T) {
+	before := newScriptedAgent(t, listResponse(4, true, "x"), listResponse(5, false, "y"))
+	after := newScriptedAgent(t, listResponse(6, false, "z"))
+	b := &movingInbox{version: 5}
+	client := New(before.address(), true, b, zap.NewNop())
+	b.move = func() { client.SetAddress(after.address()) }
+	startClient(t, client)
+	eventually(t, func() bool { return len(after.requestedPaths()) > 1 })
+	assert.Equal(t, []int{4, 5, 6}, b.versions())
+	assert.Equal(t, changesPath(5), after.requestedPaths()[0])
+}
+
+// refusingInbox is an inbox that refuses the first list.
+type refusingInbox struct {
+	inbox
+	once sync.Once
+}
+
+func (b *refusingInbox) Post(ctx context.Context, in controller.Input) (err error) {
+	err = b.inbox.Post(ctx, in)
+	b.once.Do(func() {
+		b.got = nil
+		err = context.Canceled
+	})
+	return err
+}
+
+// TestRefusedListIsRequestedAgain checks that the version of a list that was not posted is not recorded.
+func TestRefusedListIsRequestedAgain(t *testing.T) {
+	s := newScriptedAgent(t, listResponse(4, true, "x"), listResponse(4, true, "x"))
+	b := &refusingInbox{}
+	startClient(t, New(s.address(), true, b, zap.NewNop()))
+	eventually(t, func() bool { return len(s.requestedPaths()) > 2 })
+	assert.Equal(t, []string{wholePath, wholePath, changesPath(4)}, s.requestedPaths()[:3])
+	assert.Equal(t, []int{4}, b.versions())
+}
+
+// TestFetchSurvivesFailure checks that a request for the whole list is repeated until it is answered.
+func TestFetchSurvivesFailure(t *testing.T) {
+	s := newScriptedAgent(t, "reset", "half", listResponse(4, true, "x"))
+	b := &inbox{}
+	client := New(s.address(), false, b, zap.NewNop())
+	startClient(t, client)
+	client.Fetch()
+	eventually(t, func() bool { return len(b.versions()) == 1 })
+	time.Sleep(2 * retryDelay)
+	assert.Equal(t, []string{wholePath, wholePath, wholePath}, s.requestedPaths(), "one answer is enough")
+}
--- a/internal/platform/discovery/watch.go
+++ b/internal/platform/discovery/watch.go
@@ -45,7 +45,7 @@
 	defer cancel()
 	c.mu.Lock()
 	address := c.address
-	hasRequest := c.watching || c.fetch
+	hasRequest := c.watching || c.fetchPending()
 	c.cancelCall = cancel
 	c.mu.Unlock()
 	if !hasRequest {
@@ -55,7 +55,7 @@
 		}
 		return
 	}
-	err := c.watchOn(callCtx, address)
+	err := c.watchOn(callCtx, ctx, address)
 	if err == nil || callCtx.Err() != nil { // no more requests, the agent closed the connection, or it was cancelled
 		return
 	}
@@ -64,9 +64,10 @@
 	backoff.Sleep(ctx, retryDelay)
 }
 
-// watchOn connects to address and makes requests until an error occurs. It returns nil when there is nothing more to
-// request or the agent closes the connection.
-func (c *Client) watchOn(ctx context.Context, address string) error {
+// watchOn connects to address and makes requests until an error occurs or ctx is cancelled. It returns nil when there is
+// nothing more to request or the agent closes the connection. Lists are posted with postCtx, because a list that has been
+// received must be posted even if a change of the address cancels ctx meanwhile.
+func (c *Client) watchOn(ctx, postCtx context.Context, address string) error {
 	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return fmt.Errorf("dial discovery: %w", err)
@@ -76,12 +77,12 @@
 	defer stop()
 	reader := bufio.NewReader(conn)
 	for {
-		path, timeout, ok := c.nextRequest()
+		next, ok := c.nextRequest()
 		if !ok {
 			return nil
 		}
 		c.Counters.Calls.Add(1)
-		resp, err := get(conn, reader, address, path, timeout)
+		resp, err := get(conn, reader, address, next.path, next.timeout)
 		if err != nil {
 			return err
 		}
@@ -90,7 +91,7 @@
 			return err
 		}
 		c.Counters.Malformed.Add(int64(malformed))
-		if err := c.deliver(ctx, list, path == membersPath); err != nil {
+		if err := c.deliver(postCtx, list, next); err != nil {
 			return err
 		}
 		if resp.closing {
@@ -99,39 +100,56 @@
 	}
 }
 
-// nextRequest returns the path and timeout of the next request. ok is false if there is nothing to request.
-func (c *Client) nextRequest() (path string, timeout time.Duration, ok bool) {
+// request is a request for the list.
+type request struct {
+	path    string
+	whole   bool          // for the whole list instead of changes
+	timeout time.Duration // for sending it and receiving the response
+	fetches int           // value of Client.fetchesRequested when it was made; a whole request serves them all
+}
+
+// nextRequest returns the next request. ok is false if there is nothing to request.
+func (c *Client) nextRequest() (next request, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.watching && !c.fetch {
-		return "", 0, false
+	if !c.watching && !c.fetchPending() {
+		return request{}, false
 	}
-	if c.fetch || !c.hasList {
-		c.fetch = false
-		return membersPath, responseTimeout, true
+	if c.fetchPending() || !c.hasList {
+		return request{path: membersPath, whole: true, timeout: responseTimeout, fetches: c.fetchesRequested}, true
 	}
-	path = fmt.Sprintf("%s?index=%d&wait=%d", membersPath, c.version, watchWait.Milliseconds())
-	return path, watchWait + responseTimeout, true
+	path := fmt.Sprintf("%s?index=%d&wait=%d", membersPath, c.version, watchWait.Milliseconds())
+	return request{path: path, timeout: watchWait + responseTimeout}, true
 }
 
-// deliver posts a list to the controller and records its version. A response with no changes is not posted.
-// requestedWhole means that the request was for the whole list. If the response contains only changes although the
-// whole list was requested, or changes with a version lower than the last one, the list that they apply to is unknown
-// here. They are posted, but deliver returns an error and the next request is for the whole list.
-func (c *Client) deliver(ctx context.Context, list *wire.List, requestedWhole bool) error {
-	c.mu.Lock()
-	baseMissing := !list.Whole && (requestedWhole || c.hasList && list.Version < c.version)
-	c.hasList = !baseMissing
-	c.version = list.Version
-	c.mu.Unlock()
+// deliver posts the list of a response to the controller and records its version. A response with no changes is not
+// posted. A list that cannot be posted is not recorded, so it is requested again.
+//
+// If the response contains only changes although the whole list was requested, or changes with a version lower than the
+// last one, the list that they apply to is unknown here. They are posted, but deliver returns an error and the next
+// request is for the whole list.
+func (c *Client) deliver(ctx context.Context, list *wire.List, answered request) error {
 	if list.Whole || len(list.Entries) > 0 {
-		c.Counters.Lists.Add(1)
 		if err := c.inbox.Post(ctx, controller.EndpointsListed{List: list}); err != nil {
 			return err
 		}
+		c.Counters.Lists.Add(1)
 	}
-	if baseMissing {
+	if !c.record(list, answered) {
 		return fmt.Errorf("%w: changes with version %d do not apply to the local list", ErrInvalidList, list.Version)
 	}
 	return nil
 }
+
+// record records that a list was received and posted. It returns false if the list contains changes to an unknown list.
+func (c *Client) record(list *wire.List, answered request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	baseMissing := !list.Whole && (answered.whole || c.hasList && list.Version < c.version)
+	c.hasList = !baseMissing
+	c.version = list.Version
+	if list.Whole {
+		c.fetchesServed = max(c.fetchesServed, answered.fetches)
+	}
+	return !baseMissing
+}
