Relay events: what was read before a subscription is cancelled is posted all the same

Callers could have seen: a proxy that joins or leaves while a new configuration moves the relay is not learned of, and is bound to no table for good.

The loop may refuse the input; the other subscription's copy of the event is then dropped as already handled.

Change: inputs are posted with the context of Run, which ends with the pilot.

--- a/internal/platform/relay/eventstream.go
+++ b/internal/platform/relay/eventstream.go
@@ -88,21 +88,22 @@
 
 // subscribe opens subscription i at the current address, receives events until it ends, and returns the reason.
 func (s *EventStream) subscribe(ctx context.Context, i int) error {
-	ctx, cancel := context.WithCancel(ctx)
+	connCtx, cancel := context.WithCancel(ctx)
 	s.mu.Lock()
 	address := s.address
 	s.subscriptions[i].cancel = cancel
 	s.subscriptions[i].address = address
 	s.mu.Unlock()
-	err := s.receive(ctx, address, i)
+	err := s.receive(connCtx, ctx, address, i)
 	cancel()
 	s.unsubscribed(i)
 	return err
 }
 
 // receive connects to the relay, requests the event stream and handles events until the connection ends or ctx is
-// cancelled.
-func (s *EventStream) receive(ctx context.Context, address string, i int) error {
+// cancelled. Inputs are posted with postCtx, because an event that has been received must be posted even if ctx is
+// cancelled meanwhile: it is recorded as handled, so the other subscription does not post it.
+func (s *EventStream) receive(ctx, postCtx context.Context, address string, i int) error {
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return fmt.Errorf("dial relay: %w", err)
@@ -119,8 +120,8 @@
 		return fmt.Errorf("request events: response status %d", response.StatusCode)
 	}
 	s.subscribed(i)
-	defer s.awaitSnapshot(ctx, i)()
-	return s.readLines(ctx, i, conn, response)
+	defer s.awaitSnapshot(ctx, postCtx, i)()
+	return s.readLines(postCtx, i, conn, response)
 }
 
 // requestEvents sends the request for the event stream and reads the head of the response.
@@ -138,7 +139,7 @@
 	return response, nil
 }
 
-// readLines reads events and handles them. It always returns an error, because the stream has no regular end.
+// readLines reads events and handles them, and posts inputs with ctx. It always returns an error, because the stream has no regular end.
 func (s *EventStream) readLines(ctx context.Context, i int, conn net.Conn, response *http.Response) error {
 	scanner := bufio.NewScanner(response.Body)
 	scanner.Buffer(make([]byte, 0, lineBufferBytes), maxEventBytes)
--- a/internal/platform/relay/eventstream_test.go
+++ b/internal/platform/relay/eventstream_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+
+	"indigousher/internal/controller"
 )
 
 // joined returns a "joined" event of a proxy in zone a.
@@ -240,3 +243,44 @@
 	end()
 	assert.Contains(t, b.all(), "joined 3")
 }
+
+// cancellingInbox is an inbox that cancels a subscription's connection while the first input is being posted. It refuses
+// an input whose context has ended, as controller.Loop may even if it has room.
+type cancellingInbox struct {
+	inbox
+	cancel func()
+	once   sync.Once
+}
+
+func (b *cancellingInbox) Post(ctx context.Context, in controller.Input) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	b.once.Do(b.cancel)
+	return b.inbox.Post(ctx, in)
+}
+
+// TestEventsReceivedBeforeCancelArePosted guards against the cause of review case 7 in the event stream: an event that had
+// been received when the connection was cancelled, as by SetAddress, was recorded as handled but not posted.
+func TestEventsReceivedBeforeCancelArePosted(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	b := &cancellingInbox{}
+	events := NewEventStream(listener.Addr().String(), b, &Counters{}, zap.NewNop())
+	b.cancel = func() { events.subscriptions[0].cancel() } // the event stream holds mu while it posts
+	end := runEvents(t, events)
+	lines := joined(1, false) + "\n" + joined(2, false) + "\n"
+	for range 2 { // the client reconnects after the cancellation
+		conn, err := listener.Accept()
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = conn.Read(make([]byte, 4096))
+		require.NoError(t, err)
+		_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(lines), lines)
+		require.NoError(t, err)
+	}
+	time.Sleep(2 * snapshotQuietPeriod)
+	end()
+	assert.Contains(t, b.all(), "joined 2")
+}
--- a/internal/platform/relay/snapshot.go
+++ b/internal/platform/relay/snapshot.go
@@ -17,8 +17,9 @@
 const snapshotQuietPeriod = 200 * time.Millisecond
 
 // awaitSnapshot starts a goroutine that waits until subscription i's snapshot is complete and then calls endSnapshot.
-// The returned function stops the goroutine and waits for it to return.
-func (s *EventStream) awaitSnapshot(ctx context.Context, i int) (stop func()) {
+// The returned function, or the end of ctx, stops the goroutine; the function waits for it to return. Inputs are posted
+// with postCtx.
+func (s *EventStream) awaitSnapshot(ctx, postCtx context.Context, i int) (stop func()) {
 	waitCtx, cancel := context.WithCancel(ctx)
 	var waiter sync.WaitGroup
 	waiter.Go(func() {
@@ -27,7 +28,7 @@
 				return
 			}
 		}
-		s.endSnapshot(ctx, i)
+		s.endSnapshot(postCtx, i)
 	})
 	return func() {
 		cancel()
@@ -69,7 +70,7 @@
 	s.cancelAtOldAddress()
 	for _, proxy := range missing {
 		delete(s.proxies, proxy)
-		_ = s.inbox.Post(ctx, controller.RelayProxyLeft{Proxy: proxy}) // fails only after ctx was cancelled
+		_ = s.inbox.Post(ctx, controller.RelayProxyLeft{Proxy: proxy}) // fails only if the pilot is shutting down
 	}
 }
 
