Planner: the default retry mode is ordered only as far as a class bears it

Cause: Planner.retryPolicy ordered the deployment's default for every class for which it did not raise the mode itself, whatever the class's settings say.

Change: the default is limited to mode 1 (a retry only after proof that nothing ran) unless the class is replayable, or its idempotency key is known wherever and as long as a proxy may retry (group all, or zone for a class that stays there; window of at least the client's timeout). The check of HCL settings refuses try_again above 1 beside such uniqued classes too.

--- a/internal/config/parse_test.go
+++ b/internal/config/parse_test.go
@@ -85,6 +85,16 @@
 		},
 		{"default retry of a class that is not idempotent", validSettings + `proxies { try_again = 2 }
 req_kind "pay" { repeats = "non-replayable" }`, `repeat requests of class "pay"`},
+		{"default retry beyond the group of the idempotency keys", validSettings + `proxies { try_again = 2 }
+req_kind "pay" {
+  repeats = "uniqued"
+  group   = "cell"
+}`, `repeat requests of class "pay"`},
+		{"default retry after the window of the idempotency keys", validSettings + `proxies { try_again = 2 }
+req_kind "pay" {
+  repeats        = "uniqued"
+  client_timeout = "6s"
+}`, `repeat requests of class "pay"`},
 		{
 			"duplicate zone",
 			strings.Replace(validSettings, `["a", "b"]`, `["a", "a", "b"]`, 1),
--- a/internal/config/request_class.go
+++ b/internal/config/request_class.go
@@ -22,6 +22,13 @@
 	RepeatsNonReplayable = "non-replayable" // may be repeated only if it is known not to have been executed
 )
 
+// Values of RequestClass.Group.
+const (
+	groupAll  = "all"
+	groupZone = "zone"
+	groupCell = "cell"
+)
+
 // RequestClass describes one class of requests. The JSON keys are those of stored experiment results.
 type RequestClass struct {
 	Name           string        `json:"Name"`
@@ -30,7 +37,7 @@
 	Payoff         float64       `json:"Payoff"`         // priority weight: value of a response within ResponseTarget
 	LatePayoff     float64       `json:"LatePayoff"`     // fraction of Payoff that a later response earns
 	Repeats        string        `json:"Repeats"`        // whether a request may be repeated: one of the Repeats constants
-	Group          string        `json:"Group"`          // scope of RepeatsUniqued idempotency keys: all, zone or cell
+	Group          string        `json:"Group"`          // scope of RepeatsUniqued idempotency keys: one of the group constants
 	Window         time.Duration `json:"Window"`         // time for which endpoints remember idempotency keys
 	OnlyMachines   []string      `json:"OnlyMachines"`   // machine types that may serve the class; empty: all
 	OnlyZones      []string      `json:"OnlyZones"`      // zones that may serve the class; empty: all
@@ -46,11 +53,27 @@
 		ClientTimeout:  3 * time.Second,
 		Payoff:         1,
 		Repeats:        RepeatsReplayable,
-		Group:          "all",
+		Group:          groupAll,
 		Window:         5 * time.Second,
 	}
 }
 
+// repeatHazard returns why a request of the class that a proxy repeats may take effect twice, or "" if it may not. A proxy
+// repeats a request at any endpoint that serves the class, until ClientTimeout.
+func (k *RequestClass) repeatHazard() string {
+	switch {
+	case k.Repeats == RepeatsReplayable:
+		return ""
+	case k.Repeats == RepeatsNonReplayable:
+		return "is non-replayable"
+	case k.Group == groupCell || k.Group == groupZone && !k.OwnZone:
+		return "is uniqued only within a " + k.Group
+	case k.Window < k.ClientTimeout:
+		return "is uniqued for less than client_timeout"
+	}
+	return ""
+}
+
 // fields returns the attributes of a request class.
 func (k *RequestClass) fields() []Field {
 	return []Field{
@@ -59,7 +82,7 @@
 		{Name: "payoff", Into: &k.Payoff},
 		{Name: "late_payoff", Into: &k.LatePayoff, Max: 1},
 		{Name: "repeats", Into: &k.Repeats, OneOf: []string{RepeatsReplayable, RepeatsUniqued, RepeatsNonReplayable}},
-		{Name: "group", Into: &k.Group, OneOf: []string{"all", "zone", "cell"}},
+		{Name: "group", Into: &k.Group, OneOf: []string{groupAll, groupZone, groupCell}},
 		{Name: "window", Into: &k.Window},
 		{Name: "only_machines", Into: &k.OnlyMachines},
 		{Name: "only_zones", Into: &k.OnlyZones},
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -101,13 +101,15 @@
 	}
 }
 
-// validateRetries checks that the default retry policy never repeats non-replayable requests that may have been
-// executed.
+// validateRetries checks that the default retry policy never lets requests that must be executed once take effect twice.
 func (p *Pilot) validateRetries(v *validator) {
+	if p.RetryHow <= retryIfNotExecuted {
+		return
+	}
 	for _, class := range p.Kinds {
-		if class.Repeats == RepeatsNonReplayable && p.RetryHow > retryIfNotExecuted {
-			v.errorf("proxies: try_again %d lets proxies repeat requests of class %q, which is non-replayable; use 0 or 1",
-				p.RetryHow, class.Name)
+		if reason := class.repeatHazard(); reason != "" {
+			v.errorf("proxies: try_again %d lets proxies repeat requests of class %q, which %s; use 0 or 1",
+				p.RetryHow, class.Name, reason)
 		}
 	}
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"indigousher/planner"
 )
 
 // TestParse checks that Parse renames settings and their values, converts times to milliseconds, flattens nested
@@ -31,3 +33,17 @@
 	_, err := d.Zones.Lookup(2)
 	assert.ErrorContains(t, err, "no name is assigned to index 2")
 }
+
+// TestIdempotencyKeySettings checks that the planner reads from the operators' settings whether proxies may repeat a
+// request that carries an idempotency key.
+func TestIdempotencyKeySettings(t *testing.T) {
+	for group, want := range map[string]bool{"all": true, "cell": false} {
+		d := Parse(map[string]any{"profiles": []any{map[string]any{
+			"idempotency": "idempotency_key", "group": group, "window": 5e9, "give_up": 4e9,
+		}}})
+		parsed, err := planner.ParseSettings(d.Settings)
+		require.NoError(t, err)
+		require.Len(t, parsed.Classes, 1)
+		assert.Equal(t, want, parsed.Classes[0].Deduplicated, group)
+	}
+}
--- a/planner/admission.go
+++ b/planner/admission.go
@@ -6,7 +6,8 @@
 // A retry is a second attempt of a proxy at the same request. The planner enables retries after any failure only for
 // classes whose requests may be executed twice (RequestClass.Retryable), and only while most retries would be answered
 // in time and the endpoints have capacity for them (retriesHelp). Otherwise the deployment's default retry mode
-// applies. The proxies limit the number of attempts.
+// applies, but to classes whose requests must take effect once at most only as far as it never repeats a request that
+// may have been executed (defaultRetryMode). The proxies limit the number of attempts.
 
 import (
 	"cmp"
@@ -48,6 +49,9 @@
 
 // Retry modes and the conditions for retries.
 const (
+	// retryModeNotExecuted is the retry mode in which a proxy retries only if the failed attempt was certainly not executed.
+	retryModeNotExecuted = 1
+
 	// retryModeAnyFailure is the retry mode in which a proxy retries after any failure, even if the endpoint may have
 	// executed the failed attempt.
 	retryModeAnyFailure = 2
@@ -135,12 +139,21 @@
 }
 
 // retryPolicy returns the retry mode of a class: retryModeAnyFailure if retries help and the class allows them,
-// otherwise the deployment's default.
+// otherwise the default mode.
 func (p *Planner) retryPolicy(class int, retriesHelp bool) int {
 	if retriesHelp && p.classes[class].Retryable {
 		return retryModeAnyFailure
 	}
-	return p.settings.DefaultRetryMode
+	return p.defaultRetryMode(class)
+}
+
+// defaultRetryMode returns the deployment's default retry mode, limited to retryModeNotExecuted for classes whose
+// requests may take effect twice otherwise.
+func (p *Planner) defaultRetryMode(class int) int {
+	if p.classes[class].Retryable || p.classes[class].Deduplicated {
+		return p.settings.DefaultRetryMode
+	}
+	return min(p.settings.DefaultRetryMode, retryModeNotExecuted)
 }
 
 // rejectedFraction returns the fraction of a class's requests to reject. Remaining is the amount that is still to be
--- a/planner/admission_test.go
+++ b/planner/admission_test.go
@@ -77,3 +77,44 @@
 		})
 	}
 }
+
+// TestDefaultRetryMode guards against review case 8: the deployment's default retry mode was ordered for all classes, so
+// that proxies repeated requests that an endpoint may have executed, although executing them twice does harm.
+func TestDefaultRetryMode(t *testing.T) {
+	uniqued := func(group string, windowMs float64) map[string]any {
+		return map[string]any{"repeats": "uniqued", "group": group, "window": windowMs, "client_timeout": 3000.0}
+	}
+	for name, c := range map[string]struct {
+		class   map[string]any
+		ownZone bool
+		want    []int // retry mode by the deployment's default, 0 to 3
+	}{
+		"replayable":                            {map[string]any{"repeats": "replayable"}, false, []int{0, 1, 2, 3}},
+		"non-replayable":                        {map[string]any{"repeats": "non-replayable"}, false, []int{0, 1, 1, 1}},
+		"unspecified":                           {map[string]any{}, false, []int{0, 1, 1, 1}},
+		"uniqued at all endpoints":              {uniqued("all", 3000), false, []int{0, 1, 2, 3}},
+		"uniqued for less than a request lasts": {uniqued("all", 2999), false, []int{0, 1, 1, 1}},
+		"uniqued in each zone":                  {uniqued("zone", 3000), false, []int{0, 1, 1, 1}},
+		"uniqued in each zone, never crosses":   {uniqued("zone", 3000), true, []int{0, 1, 2, 3}},
+		"uniqued in each cell":                  {uniqued("cell", 3000), true, []int{0, 1, 1, 1}},
+		"uniqued for an unknown time": {
+			map[string]any{"repeats": "uniqued", "group": "all"}, false, []int{0, 1, 1, 1},
+		},
+		"uniqued in an unknown group": {
+			map[string]any{"repeats": "uniqued", "window": 3000.0, "client_timeout": 3000.0}, false, []int{0, 1, 1, 1},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for mode, want := range c.want {
+				h := newHarness(t, func(settings map[string]any, _ []Entry) {
+					settings["retry_default"] = float64(mode)
+					settings["req_kinds"] = []any{c.class}
+					settings["kind_own_zone"] = []any{c.ownZone}
+				})
+				h.rounds(3, steady(0, 10, 0, 0.3, 0, 1, 2, 3, 4, 5))
+				require.Contains(t, h.admission, "0/1")
+				assert.Equal(t, want, h.admission["0/1"].RetryMode, "default %d", mode)
+			}
+		})
+	}
+}
--- a/planner/settings.go
+++ b/planner/settings.go
@@ -39,6 +39,9 @@
 const (
 	discoveryOnRequest     = "on_request" // value of "discovery": the endpoint list is watched only after a request
 	repeatsReplayable      = "replayable" // value of "repeats" of a class: executing a request twice does no harm
+	repeatsUniqued         = "uniqued"    // value of "repeats" of a class: some endpoints discard repeated requests
+	groupAll               = "all"        // value of "group" of a class: all endpoints discard repeats of each other's requests
+	groupZone              = "zone"       // value of "group" of a class: those of a zone do
 	reportFieldUtilization = "util"       // element of "fields": load reports contain the utilization
 )
 
@@ -95,6 +98,7 @@
 	PriorityWeight   float64   // value of an answer relative to those of other classes; default 1
 	ResponseTargetMs float64   // ms, time within which an answer is due; default 1000
 	Retryable        bool      // executing a request twice does no harm
+	Deduplicated     bool      // any endpoint that a proxy may try discards repeats, for as long as a request lasts
 	OwnZoneOnly      bool      // only endpoints in the zone of the proxy that receives a request may serve it
 	OnlyMachines     IndexList // machine types that may serve the class
 	OnlyZones        IndexList // zones whose endpoints may serve the class
@@ -225,12 +229,13 @@
 		if i < len(ownZone) {
 			class.OwnZoneOnly = ownZone[i] == true
 		}
+		class.Deduplicated = classReader.deduplicated(class.OwnZoneOnly)
 		classes = append(classes, class)
 	}
 	return classes
 }
 
-// class reads the settings of one request class, except OwnZoneOnly.
+// class reads the settings of one request class, except OwnZoneOnly and Deduplicated.
 func (r *settingsReader) class() RequestClass {
 	return RequestClass{
 		PriorityWeight:   r.number("payoff").Or(defaultPriorityWeight),
@@ -241,6 +246,19 @@
 	}
 }
 
+// deduplicated reads whether a repeat of a request of the class is discarded wherever and whenever a proxy may send it. A
+// proxy may try any endpoint that serves the class, in its own zone only if ownZoneOnly is true, until the client's
+// timeout. It is not known for a class without these settings.
+func (r *settingsReader) deduplicated(ownZoneOnly bool) bool {
+	if readValue[string](r, "repeats", "a string") != repeatsUniqued {
+		return false
+	}
+	group := readValue[string](r, "group", "a string")
+	timeout := r.number("client_timeout")
+	inTime := timeout > 0 && r.number("window") >= timeout
+	return inTime && (group == groupAll || group == groupZone && ownZoneOnly)
+}
+
 // number reads a number. It returns 0 if the value is missing, not above zero, infinite or not a number.
 func (r *settingsReader) number(key string) Optional {
 	number := readValue[float64](r, key, "a number")
