TestIdleConnectionClosedByRelay: wait until the last response has been counted

The test's fault: the relay's side of the connection is closed before the client has read the response, and the count was read at once.

--- a/internal/platform/relay/connection_test.go
+++ b/internal/platform/relay/connection_test.go
@@ -35,6 +35,8 @@
 		executed := func() bool { return len(s.executedCommands()) == i && s.idle() }
 		require.Eventually(t, executed, 5*time.Second, time.Millisecond)
 	}
+	counted := func() bool { return sender.Counters.Executed.Load() >= 5 } // after the relay has closed the connection
+	require.Eventually(t, counted, 5*time.Second, time.Millisecond)
 	assert.Zero(t, sender.Counters.FailedCalls.Load())
 	assert.EqualValues(t, 5, sender.Counters.Executed.Load())
 }
