Settings: the outermost value is kept where a name occurs twice, not either by chance

Cause: settings.Parse flattens nested settings in the order of a Go map; discovery and prices.discovery have one name, and either of them stayed.

Change: the outermost value is kept; among nested groups that of the group that sorts first.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,5 +1,10 @@
 package settings
 
+import (
+	"maps"
+	"slices"
+)
+
 // Deployment holds the settings of a deployment in the planner's form, and the names for the indices in them.
 type Deployment struct {
 	Settings                 map[string]any
@@ -94,13 +99,31 @@
 	return value
 }
 
-// flatten copies settings from one map into another, with nested settings at the top level.
+// flatten copies settings from one map into another, with nested settings at the top level. If a name occurs more than
+// once, the outermost value is kept: prices.discovery is the price of a request to the discovery, while discovery at the
+// top level is the way in which it works. Among nested settings, the value of the group that sorts first is kept.
 func flatten(into, from map[string]any) {
 	for name, value := range from {
-		if nested, ok := value.(map[string]any); ok {
-			flatten(into, nested)
+		if _, nested := value.(map[string]any); !nested {
+			into[name] = value
+		}
+	}
+	for _, group := range slices.Sorted(maps.Keys(from)) {
+		nested, ok := from[group].(map[string]any)
+		if !ok {
 			continue
 		}
-		into[name] = value
+		inner := map[string]any{}
+		flatten(inner, nested)
+		addMissing(into, inner)
+	}
+}
+
+// addMissing copies the settings whose names are not in the other map yet.
+func addMissing(into, from map[string]any) {
+	for name, value := range from {
+		if _, exists := into[name]; !exists {
+			into[name] = value
+		}
 	}
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -47,3 +47,17 @@
 		assert.Equal(t, want, parsed.Classes[0].Deduplicated, group)
 	}
 }
+
+// TestParseSameNameTwice guards against review case 9: where a price had the name of another setting, either of them was
+// kept, by chance, so that about half of the instances did not know that the endpoint list must be asked for.
+func TestParseSameNameTwice(t *testing.T) {
+	for range 50 { // the order of a map's elements differs from run to run
+		d := Parse(map[string]any{
+			"discovery": "on_request",
+			"prices":    map[string]any{"discovery": 0.5, "probe": 1.0},
+			"extra":     map[string]any{"probe": 2.0},
+		})
+		assert.Equal(t, "on_request", d.Settings["discovery"])
+		assert.Equal(t, 2.0, d.Settings["probe"])
+	}
+}
