Relay events: after a gap, however short, an announced proxy may have a new stream

Two cases of TestEventSequence change with it. 'short gap: only a cold proxy has reconnected' expected the fault itself, that a warm one is not bound anew; it now expects 'resumed 1', and the whole sequence as before. 'one subscription disconnects' let the second subscription announce nobody, as no relay does; both announce now, and what is expected stays.

--- a/internal/platform/relay/event.go
+++ b/internal/platform/relay/event.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"time"
 
 	"indigousher/internal/controller"
 )
@@ -30,7 +29,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.subscriptions[i].lastReceived = time.Now()
+	s.subscriptions[i].lastReceived = s.now()
 	s.cancelAtOldAddress()
 	if e.Type == "" || e.Object.Node == nil {
 		return nil // a keepalive
@@ -64,15 +63,17 @@
 	zone := e.Object.Locality
 	cold := e.Object.Cold
 	current := s.proxies[proxy]
-	reconnected := current != nil && sub.mayHaveReconnected(proxy, current, cold)
-	if sub.state == receivingSnapshot {
-		sub.announced[proxy] = true
-		sub.lastAnnounced = sub.lastReceived
+	reconnected := current != nil && sub.mayHaveReconnected(proxy, current)
+	stale := current == nil && s.isStale(sub, proxy)
+	sub.announce(proxy)
+	if stale {
+		return nil
 	}
 	sameZone := current != nil && current.zone == zone
 	if sameZone && !reconnected {
 		return nil
 	}
+	delete(s.leftAt, proxy)
 	s.proxies[proxy] = &connectedProxy{zone: zone, announcedAt: sub.lastReceived}
 	return controller.RelayProxyJoined{
 		Proxy:   proxy,
@@ -83,35 +84,57 @@
 	}
 }
 
+// isStale reports whether a subscription announces a proxy that has left since the subscription opened, by the other one's
+// events, for the first time: the other one was faster, so this stream has ended already or will be announced by the
+// other one too. If it ends before that, the two differ (differsFrom).
+func (s *EventStream) isStale(sub *subscription, proxy int) bool {
+	_, announcedBefore := sub.announced[proxy]
+	return !announcedBefore && s.leftAt[proxy].After(sub.openedAt)
+}
+
+// announce records that the subscription has announced a proxy.
+func (sub *subscription) announce(proxy int) {
+	if sub.state == disconnected {
+		return
+	}
+	sub.announced[proxy] = true
+	if sub.state == receivingSnapshot {
+		sub.lastAnnounced = sub.lastReceived
+	}
+}
+
 // mayHaveReconnected reports whether a proxy that is known as connected, and is announced on the subscription, may have
 // opened a new stream without a "left" event. It is not so if the other subscription announced the proxy after this one
 // opened, as happens at startup, when both subscriptions announce all proxies.
 //
 // After the snapshot, an announcement always means a new stream: if the proxy had been in the snapshot, this subscription
-// would have reported that it left. Within the snapshot, the announcement may repeat a stream that is known. It may be a
-// new one only if there was a gap before the snapshot that was longer than maxShortGap, or if the event says that the
-// proxy has just started, and if this snapshot has not announced the proxy before.
-func (sub *subscription) mayHaveReconnected(proxy int, current *connectedProxy, cold bool) bool {
+// would have reported that it left. Within the snapshot, the announcement repeats a stream that is known, unless there
+// was a gap before: then the stream may have broken in the gap, however short, and the proxy may have reconnected in the
+// gap or since, because the end of the snapshot is not marked and later events may be taken for a part of it.
+func (sub *subscription) mayHaveReconnected(proxy int, current *connectedProxy) bool {
 	if current.announcedAt.After(sub.openedAt) {
 		return false
 	}
-	if sub.state == live {
+	switch sub.state {
+	case live:
 		return true
+	case receivingSnapshot:
+		return sub.afterGap && !sub.announced[proxy]
 	}
-	if sub.state != receivingSnapshot || !sub.afterGap || sub.announced[proxy] {
-		return false
-	}
-	return sub.afterLongGap || cold
+	return false
 }
 
 // applyLeft handles a "left" event. It returns nil if the proxy is unknown, for example because the other subscription
 // has delivered the event already.
 func (s *EventStream) applyLeft(sub *subscription, proxy int) controller.Input {
-	delete(sub.announced, proxy)
+	if sub.state != disconnected {
+		sub.announced[proxy] = false
+	}
 	if s.proxies[proxy] == nil {
 		return nil
 	}
 	delete(s.proxies, proxy)
+	s.leftAt[proxy] = sub.lastReceived
 	return controller.RelayProxyLeft{Proxy: proxy}
 }
 
--- a/internal/platform/relay/eventstream.go
+++ b/internal/platform/relay/eventstream.go
@@ -43,19 +43,24 @@
 
 	inbox controller.Inbox
 	log   *zap.Logger
+	now   func() time.Time // the clock by which gaps are detected
 
 	// mu guards the fields below. It is held while an input is posted, so that the inbox receives the inputs in the order
 	// in which the events were applied.
 	mu            sync.Mutex
 	address       string                  // address of the relay for new connections
 	proxies       map[int]*connectedProxy // connected proxies, by number
+	leftAt        map[int]time.Time       // when the "left" event of a proxy was handled that is not connected since
 	subscriptions [SubscriptionCount]subscription
 	completeUntil time.Time // all events up to this time were received; zero before the first subscription ends
 }
 
 // NewEventStream returns an event stream from the relay at address. It does not connect before Run is called.
 func NewEventStream(address string, inbox controller.Inbox, c *Counters, log *zap.Logger) *EventStream {
-	return &EventStream{Counters: c, inbox: inbox, log: log, address: address, proxies: map[int]*connectedProxy{}}
+	return &EventStream{
+		Counters: c, inbox: inbox, log: log, now: time.Now, address: address,
+		proxies: map[int]*connectedProxy{}, leftAt: map[int]time.Time{},
+	}
 }
 
 // SetAddress changes the relay's address. The first subscription reconnects immediately. The second one reconnects
--- a/internal/platform/relay/eventstream_test.go
+++ b/internal/platform/relay/eventstream_test.go
@@ -61,6 +61,25 @@
 	}
 }
 
+// passed moves all known times of the event stream back, as if a span had passed since.
+func passed(span time.Duration) step {
+	return func(_ *testing.T, events *EventStream) {
+		times := []*time.Time{&events.completeUntil}
+		for i := range events.subscriptions {
+			sub := &events.subscriptions[i]
+			times = append(times, &sub.openedAt, &sub.lastReceived, &sub.lastAnnounced)
+		}
+		for _, proxy := range events.proxies {
+			times = append(times, &proxy.announcedAt)
+		}
+		for _, at := range times {
+			if !at.IsZero() {
+				*at = at.Add(-span)
+			}
+		}
+	}
+}
+
 // TestEventSequence checks that the events of two subscriptions are merged into one sequence without duplicates, and
 // which events are inferred from the snapshot after a gap.
 func TestEventSequence(t *testing.T) {
@@ -95,7 +114,8 @@
 		},
 		"one subscription disconnects": {
 			[]step{
-				open(0), open(1), receive(0, joined(1, true)), receive(0, joined(2, true)), finishSnapshot(0), finishSnapshot(1),
+				open(0), open(1), receive(0, joined(1, true)), receive(0, joined(2, true)), receive(1, joined(1, true)),
+				receive(1, joined(2, true)), finishSnapshot(0), finishSnapshot(1),
 				openedLongAgo, closeFirst, receive(1, left(2)), open(0), receive(0, joined(1, false)), finishSnapshot(0),
 			},
 			[]string{"joined 1", "joined 2", "left 2"},
@@ -114,12 +134,12 @@
 			},
 			[]string{"joined 1", "joined 1"},
 		},
-		"short gap: only a cold proxy has reconnected": {
+		"short gap: announced proxies may have reconnected": {
 			[]step{
 				open(0), receive(0, joined(1, true)), receive(0, joined(2, true)), finishSnapshot(0), closeFirst,
 				open(0), receive(0, joined(1, false)), receive(0, joined(2, true)), finishSnapshot(0),
 			},
-			[]string{"joined 1", "joined 2", "joined 2"},
+			[]string{"joined 1", "joined 2", "resumed 1", "joined 2"},
 		},
 		"review case 6: proxy that was missing from the snapshot connects while the other subscription is silent": {
 			[]step{
@@ -128,6 +148,23 @@
 			},
 			[]string{"joined 1", "resumed 1"},
 		},
+		"review case 2: proxies connect within the snapshot after a short gap": {
+			[]step{
+				open(0), receive(0, joined(1, false)), receive(0, joined(2, false)), receive(0, joined(3, false)), finishSnapshot(0),
+				closeFirst, open(0), receive(0, joined(3, false)), passed(snapshotQuietPeriod), receive(0, joined(1, false)),
+			},
+			[]string{"joined 1", "joined 2", "joined 3", "resumed 3", "resumed 1"},
+		},
+		"late copy of an announcement after the proxy has left": {
+			[]step{open(0), open(1), receive(0, joined(1, true)), receive(0, left(1)), receive(1, joined(1, true))},
+			[]string{"joined 1", "left 1"},
+		},
+		"gap after an incomplete first snapshot": {
+			[]step{
+				open(0), receive(0, joined(1, false)), closeFirst, passed(snapshotQuietPeriod), open(0), receive(0, joined(1, false)),
+			},
+			[]string{"joined 1", "resumed 1"},
+		},
 		"incomplete snapshot removes no proxy": {
 			[]step{
 				open(0), receive(0, joined(1, true)), finishSnapshot(0), closeFirst, longGap,
--- a/internal/platform/relay/snapshot.go
+++ b/internal/platform/relay/snapshot.go
@@ -46,7 +46,7 @@
 	if sub.state != receivingSnapshot {
 		return 0
 	}
-	return snapshotQuietPeriod - time.Since(sub.lastAnnounced)
+	return snapshotQuietPeriod - s.now().Sub(sub.lastAnnounced)
 }
 
 // endSnapshot marks subscription i's snapshot as complete. If there was a gap in the events before the snapshot,
@@ -61,12 +61,10 @@
 	var missing []int
 	if sub.afterGap {
 		s.log.Info("received snapshot of proxies after a gap in the event streams", zap.Int("stream", i),
-			zap.Int("announced", len(sub.announced)), zap.Int("known", len(s.proxies)),
-			zap.Bool("long", sub.afterLongGap))
+			zap.Int("announced", len(sub.announced)), zap.Int("known", len(s.proxies)))
 		missing = s.missingProxies(sub)
 	}
 	sub.state = live
-	sub.announced = nil
 	s.cancelAtOldAddress()
 	for _, proxy := range missing {
 		delete(s.proxies, proxy)
@@ -74,8 +72,8 @@
 	}
 }
 
-// missingProxies returns the connected proxies that are missing from a subscription's snapshot, in ascending order. The
-// caller holds mu.
+// missingProxies returns the connected proxies that a subscription has not announced, in ascending order. The caller
+// holds mu.
 func (s *EventStream) missingProxies(sub *subscription) (proxies []int) {
 	for proxy := range s.proxies {
 		if !sub.announced[proxy] {
--- a/internal/platform/relay/subscription.go
+++ b/internal/platform/relay/subscription.go
@@ -14,9 +14,6 @@
 	liveTimeout = 1300 * time.Millisecond
 	// maxDeliveryDelay is the longest time for which data of a live subscription may be in transit or wait to be handled.
 	maxDeliveryDelay = 200 * time.Millisecond
-	// maxShortGap is the length of a gap up to which no proxy can have disconnected and reconnected, because
-	// reconnecting takes longer.
-	maxShortGap = 300 * time.Millisecond
 )
 
 // subscriptionState is the state of an event subscription.
@@ -39,11 +36,9 @@
 	openedAt     time.Time // when the relay accepted the subscription
 	lastReceived time.Time // when the last event or keepalive was received; initially openedAt
 
-	// The snapshot that the relay sends after the subscription opens.
-	announced     map[int]bool // proxies announced in the snapshot; nil unless state is receivingSnapshot
-	lastAnnounced time.Time    // when a proxy was last announced; initially openedAt
+	announced     map[int]bool // proxies that it has announced: true until it has reported that they left; nil if disconnected
+	lastAnnounced time.Time    // when the snapshot last announced a proxy; initially openedAt
 	afterGap      bool         // no other subscription was receiving events when this one opened
-	afterLongGap  bool         // the gap was longer than maxShortGap, so proxies may have reconnected unnoticed
 }
 
 // beginSnapshot sets the state of a subscription that has just opened.
@@ -54,7 +49,6 @@
 	sub.announced = map[int]bool{}
 	sub.lastAnnounced = now
 	sub.afterGap = false
-	sub.afterLongGap = false
 }
 
 // disconnect marks the subscription as disconnected. It does not close the connection.
@@ -67,17 +61,15 @@
 func (s *EventStream) subscribed(i int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := s.now()
 	sub := &s.subscriptions[i]
 	sub.beginSnapshot(now)
 	sub.afterGap = !s.otherIsLive(i, now)
 	if !sub.afterGap || s.completeUntil.IsZero() { // no gap, or no events were received before it
 		return
 	}
-	gap := now.Sub(s.completeUntil)
-	sub.afterLongGap = gap > maxShortGap
 	s.Counters.Gaps.Add(1)
-	s.log.Warn("gap in the event streams", zap.Duration("duration", gap))
+	s.log.Warn("gap in the event streams", zap.Duration("duration", now.Sub(s.completeUntil)))
 }
 
 // otherIsLive reports whether a subscription other than i is connected and received data within liveTimeout. The caller
@@ -93,9 +85,7 @@
 }
 
 // unsubscribed records that subscription i has ended, for whatever reason. The other subscription must reconnect to
-// receive a new snapshot if it may have missed events too. That is so in two cases: it opened so late that i may not have
-// delivered the events before its opening; or i ended within a snapshot after a gap, so the events missed in the gap are
-// still unknown.
+// receive a new snapshot if it may have missed events too, or if the two differ.
 func (s *EventStream) unsubscribed(i int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -110,15 +100,30 @@
 	}
 	for j := range s.subscriptions {
 		other := &s.subscriptions[j]
-		if j == i || other.state == disconnected || other.afterGap {
+		if j == i || other.state == disconnected {
 			continue
 		}
-		if snapshotIncomplete || !sub.coversOpeningOf(other) {
+		missedEvents := !other.afterGap && (snapshotIncomplete || !sub.coversOpeningOf(other))
+		if missedEvents || s.differsFrom(other) {
 			s.reopen(j, sub)
 		}
 	}
 }
 
+// differsFrom reports whether the connected proxies are not those that a subscription has announced. This happens if the
+// one that has ended was ahead of it or behind it: if its last events were delivered late, they may have undone newer
+// ones, and what would have corrected that was lost with it. Proxies that are missing from a snapshot after a gap are
+// handled at its end. The caller holds mu.
+func (s *EventStream) differsFrom(sub *subscription) bool {
+	for proxy, connected := range sub.announced {
+		if connected && s.proxies[proxy] == nil {
+			return true
+		}
+	}
+	snapshotAfterGap := sub.afterGap && sub.state == receivingSnapshot
+	return !snapshotAfterGap && len(s.missingProxies(sub)) > 0
+}
+
 // coversOpeningOf reports whether the subscription has certainly delivered all events up to the time when another one
 // opened. An open connection does not prove this, because it may have lost its peer unnoticed; data that was sent after
 // the opening does.
@@ -126,13 +131,13 @@
 	return sub.lastReceived.After(other.openedAt.Add(maxDeliveryDelay))
 }
 
-// reopen closes subscription j, so that it reconnects and receives a snapshot after a gap. The gap was detected only when
-// the subscription ended that was to cover the opening of j. The caller holds mu.
+// reopen closes subscription j, so that it reconnects and receives a snapshot after a gap. That it needs one was detected
+// only when another subscription ended. The caller holds mu.
 func (s *EventStream) reopen(j int, ended *subscription) {
 	sub := &s.subscriptions[j]
 	s.Counters.LateGaps.Add(1)
-	s.log.Warn("event stream opened in an unnoticed gap", zap.Int("stream", j),
-		zap.Duration("silence", sub.openedAt.Sub(ended.lastReceived)))
+	s.log.Warn("event stream may be incomplete, reopening it", zap.Int("stream", j),
+		zap.Duration("open", s.now().Sub(sub.openedAt)), zap.Duration("other_silent", s.now().Sub(ended.lastReceived)))
 	sub.disconnect()
 	sub.cancel()
 }
--- a/internal/platform/relay/subscription_test.go
+++ b/internal/platform/relay/subscription_test.go
@@ -63,3 +63,34 @@
 	receive(1, "{}")(t, events)
 	assert.Equal(t, 1, cancelled)
 }
+
+// TestDifferingSubscriptionIsReopened checks that if one subscription ends and what is believed differs from what the other
+// one has told, the other one is reopened: the events that would have made them equal may be lost.
+func TestDifferingSubscriptionIsReopened(t *testing.T) {
+	for name, c := range map[string]struct {
+		last     step // received on the subscription that ends
+		reopened bool
+	}{
+		"a proxy that the other has not announced":  {receive(0, joined(2, false)), true},
+		"a proxy that the other has not seen leave": {receive(0, left(1)), true},
+		"nothing": {receive(0, "{}"), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			events := NewEventStream("", &inbox{}, &Counters{}, zap.NewNop())
+			cancelled := 0
+			events.subscriptions[0].cancel = func() {}
+			events.subscriptions[1].cancel = func() { cancelled++ }
+			for i := range events.subscriptions {
+				events.subscribed(i)
+			}
+			for i := range events.subscriptions {
+				receive(i, joined(1, false))(t, events)
+				events.endSnapshot(context.Background(), i)
+			}
+			openedLongAgo(t, events)
+			c.last(t, events)
+			events.unsubscribed(0)
+			assert.Equal(t, c.reopened, cancelled == 1)
+		})
+	}
+}
