Daemon: a pilot that resumes after a failed upgrade keeps the settings of the last reload

Cause: Daemon.Reload keeps the new settings in the Daemon; Host.resume started the next one from the settings that the process had been started with.

Change: resume starts from the settings of the halted daemon. Host.Reload and resume exclude each other, so that a reload in between is not lost.

--- a/cmd/indigousher/pilot.go
+++ b/cmd/indigousher/pilot.go
@@ -78,7 +78,7 @@
 	for {
 		select {
 		case <-hangup:
-			reload(ctx, host.Daemon(), file, log)
+			reload(ctx, host, file, log)
 		case <-ctx.Done():
 			return
 		}
@@ -87,13 +87,13 @@
 
 // reload reads the settings from file and applies those that can change without a restart. If the settings are invalid,
 // it logs the error and changes nothing.
-func reload(ctx context.Context, d *daemon.Daemon, file string, log *zap.Logger) {
+func reload(ctx context.Context, host *daemon.Host, file string, log *zap.Logger) {
 	cfg, err := config.ReadPilot(file)
 	if err != nil {
 		log.Error("reload rejected, keeping the current settings", zap.Error(err))
 		return
 	}
-	changed, restart, err := d.Reload(ctx, cfg)
+	changed, restart, err := host.Reload(ctx, cfg)
 	if err != nil {
 		log.Error("reload failed, keeping the current settings", zap.Error(err))
 		return
--- a/internal/daemon/handoff.go
+++ b/internal/daemon/handoff.go
@@ -35,7 +35,7 @@
 	h.release()
 }
 
-// resume restarts the controller on its listeners after a failed handoff. lock is the lock of the handover socket,
+// resume restarts the controller on its listeners after a failed handoff, with the settings of the last reload. lock is the lock of the handover socket,
 // which the handoff has acquired again.
 func (h *Host) resume(ctx context.Context, lock *handover.Lock) {
 	h.mu.Lock()
@@ -43,7 +43,9 @@
 	h.mu.Unlock()
 	h.options.Log.Warn("handover failed, resuming")
 	h.options.Listeners = h.reopenListeners()
-	if err := h.start(ctx); err != nil {
+	h.reloading.Lock()
+	defer h.reloading.Unlock()
+	if err := h.start(ctx, h.Daemon().config.Load()); err != nil {
 		h.options.Log.Error("pilot can't resume", zap.Error(err))
 		h.handoffResult <- err
 	}
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -18,9 +18,11 @@
 // Host manages a controller in its process: it starts the controller, possibly by taking over from a running process,
 // and hands it over to a new process on request.
 type Host struct {
-	config  *config.Pilot
+	config  *config.Pilot // as at the start of the process; a reload changes only the daemon's settings
 	options Options
 
+	reloading sync.Mutex // held during a reload, and while a daemon is started from the settings of the last one
+
 	mu        sync.Mutex          // guards daemon, stop, runResult, files and lock; files is set once, by the first start
 	daemon    *Daemon             // the daemon that runs, or ran last
 	stop      context.CancelFunc  // stops daemon
@@ -60,7 +62,7 @@
 		}
 		h.lock = lock
 	}
-	if err := h.start(ctx); err != nil {
+	if err := h.start(ctx, h.config); err != nil {
 		h.lock.Release()
 		return err
 	}
@@ -82,7 +84,7 @@
 		return err
 	}
 	h.options.Listeners = takeover.Listeners
-	if err := h.start(ctx); err != nil {
+	if err := h.start(ctx, h.config); err != nil {
 		h.lock.Release() // before Abort, because the old process acquires the lock to resume
 		takeover.Abort()
 		return err
@@ -91,10 +93,10 @@
 	return nil
 }
 
-// start creates a daemon on the host's listeners and runs it in a goroutine. The goroutine ends when h.stop is called,
+// start creates a daemon with the given settings on the host's listeners and runs it in a goroutine. The goroutine ends when h.stop is called,
 // when ctx ends, or when the daemon fails.
-func (h *Host) start(ctx context.Context) error {
-	d, err := New(h.config, h.options)
+func (h *Host) start(ctx context.Context, cfg *config.Pilot) error {
+	d, err := New(cfg, h.options)
 	if err != nil {
 		return err
 	}
@@ -147,6 +149,14 @@
 	return h.daemon
 }
 
+// Reload applies the reloadable fields of a new configuration, as Daemon.Reload does. If a handoff has stopped the
+// controller, they apply when it resumes.
+func (h *Host) Reload(ctx context.Context, cfg *config.Pilot) (changed, restart []string, err error) {
+	h.reloading.Lock()
+	defer h.reloading.Unlock()
+	return h.Daemon().Reload(ctx, cfg)
+}
+
 // Wait blocks until the controller has stopped, because ctx ended, the controller failed, or another process has taken
 // over. It then closes the listeners' file handles and releases the lock.
 func (h *Host) Wait(ctx context.Context) error {
--- a/internal/rehearsal/faults_pilot.go
+++ b/internal/rehearsal/faults_pilot.go
@@ -96,7 +96,7 @@
 	settings.LinesPerS *= factor
 	settings.Kinds = append([]config.RequestClass{}, settings.Kinds...)
 	settings.MaxStreams++
-	changed, restart, err := host.Daemon().Reload(ctx, &settings)
+	changed, restart, err := host.Reload(ctx, &settings)
 	if err != nil {
 		return err
 	}
