Planner: an index that another endpoint gets takes nothing of the old one with it

Cause: what was sent to tables and who was excluded is kept by index, and an index is used again 60 s after its endpoint has left. Tables without users keep their lines, and these then counted as sent for the new endpoint. The change showed only in the start time, which dropped load and health.

Change: the controller says in an endpoint's first entry that the index, or the endpoint, may have been in use before (Entry.Reassigned). The planner starts the endpoint anew, clears the tables that hold the index, forgets its exclusion and readmits the new endpoint once. Such readmissions do not count for the pacing of exclusions. The start time no longer decides whether an index is reused.

--- a/internal/controller/endpoints.go
+++ b/internal/controller/endpoints.go
@@ -35,6 +35,8 @@
 	// retiredAtMs holds, by index, the time at which an endpoint was found to have left the list. It is only maintained
 	// with a relay, because only then are indices reused.
 	retiredAtMs map[int]float64
+	// reused is true once an index has been reused, so that a name without an index may have had one before.
+	reused bool
 }
 
 // startTime is the start of an endpoint on two clocks, in ms: listStamp is its timestamp in the list, on the list
@@ -87,21 +89,23 @@
 
 // index returns the index of an endpoint and assigns one if it has none. With a relay, a pilot runs for a long time
 // while endpoints keep appearing under new names, so a new endpoint reuses the index of one that left the list more
-// than indexReuseDelayMs ago. Their start times must differ: this is how the decider detects that its state for the
-// index belongs to another endpoint.
-func (r *endpointRegistry) index(e wire.Entry, nowMs float64) int {
+// than indexReuseDelayMs ago. reassigned is true if the index was assigned now and it, or the endpoint, may have been in
+// use before; the decider then discards its state for the index.
+func (r *endpointRegistry) index(e wire.Entry, nowMs float64) (i int, reassigned bool) {
 	if i, known := r.names.Find(e.Endpoint); known {
 		delete(r.retiredAtMs, i)
-		return i
+		return i, false
 	}
 	for _, i := range slices.Sorted(maps.Keys(r.retiredAtMs)) {
-		if nowMs-r.retiredAtMs[i] > indexReuseDelayMs && r.starts[i].listStamp != e.Started {
+		if nowMs-r.retiredAtMs[i] > indexReuseDelayMs {
 			delete(r.retiredAtMs, i)
+			delete(r.starts, i)
 			r.names.Rename(i, e.Endpoint)
-			return i
+			r.reused = true
+			return i, true
 		}
 	}
-	return r.names.Intern(e.Endpoint)
+	return r.names.Intern(e.Endpoint), r.reused
 }
 
 // startedMs returns the start time of an endpoint in ms on the pilot's clock; 0 means that it started long ago. The
@@ -194,14 +198,15 @@
 		e.Weight = previous[e.Endpoint].Weight
 	}
 	c.endpoints.put(e)
-	i := c.endpoints.index(e, c.nowMs)
+	i, reassigned := c.endpoints.index(e, c.nowMs)
 	return planner.Entry{
-		Endpoint: i,
-		Zone:     zone,
-		Machine:  c.machines.Intern(e.Machine),
-		Cell:     e.Cell,
-		Phase:    planner.Phase(e.Phase),
-		Weight:   e.Weight,
-		Started:  c.endpoints.startedMs(i, e, c.nowMs),
+		Endpoint:   i,
+		Zone:       zone,
+		Machine:    c.machines.Intern(e.Machine),
+		Cell:       e.Cell,
+		Phase:      planner.Phase(e.Phase),
+		Weight:     e.Weight,
+		Started:    c.endpoints.startedMs(i, e, c.nowMs),
+		Reassigned: reassigned,
 	}, true
 }
--- a/internal/controller/endpoints_test.go
+++ b/internal/controller/endpoints_test.go
@@ -71,3 +71,34 @@
 	assert.Zero(t, c.ReportStats.Malformed)
 	assert.Equal(t, 2000, c.ReportStats.Reports)
 }
+
+// TestReusedIndexIsReassigned checks which entries tell the decider that their index may have belonged to another endpoint
+// or that the endpoint may have had another index.
+func TestReusedIndexIsReassigned(t *testing.T) {
+	d := &oneShotDecider{}
+	c, _ := newRelayCore(d)
+	list := func(nowMs float64, names ...string) (entries []planner.Entry) {
+		l := &wire.List{Whole: true}
+		for _, name := range names {
+			l.Entries = append(l.Entries, wire.Entry{Endpoint: name, Zone: "a", Machine: "m", Weight: 1})
+		}
+		d.events = nil
+		c.Handle(nowMs, []Input{EndpointsListed{List: l}})
+		update, ok := d.events[0].(planner.EndpointUpdate)
+		require.True(t, ok, "%T", d.events[0])
+		return update.Entries
+	}
+	assert.False(t, list(0, "x", "y")[1].Reassigned, "first use of the index and of the name")
+	list(1000, "x")
+	again := list(2000, "x", "y")[1]
+	assert.Equal(t, 1, again.Endpoint)
+	assert.False(t, again.Reassigned, "the same endpoint returns to its index")
+	list(3000, "x")
+	reused := list(3000+indexReuseDelayMs+1, "x", "z")[1]
+	assert.Equal(t, 1, reused.Endpoint, "an endpoint with the same start time may reuse the index")
+	assert.True(t, reused.Reassigned)
+	assert.False(t, list(70000, "x", "z")[1].Reassigned, "told once")
+	returned := list(71000, "x", "z", "y")[2]
+	assert.Equal(t, 2, returned.Endpoint)
+	assert.True(t, returned.Reassigned, "it had another index before")
+}
--- a/planner/drain.go
+++ b/planner/drain.go
@@ -15,12 +15,22 @@
 type exclusion struct {
 	unavailable map[int]float64 // endpoints that drain or are gone, with the time at which this was reported
 	excludedAt  map[int]float64 // excluded endpoints, with the time of the exclusion
+	suspected   map[int]bool    // endpoints that may be excluded since they had another index
 	lastChange  float64         // time of the latest exclusion or readmission of any endpoint
+	lastSentAt  float64         // time of the latest exclusion or readmission that was sent to proxies
 }
 
 // newExclusion returns an exclusion state in which all endpoints are available.
 func newExclusion() exclusion {
-	return exclusion{unavailable: map[int]float64{}, excludedAt: map[int]float64{}}
+	return exclusion{unavailable: map[int]float64{}, excludedAt: map[int]float64{}, suspected: map[int]bool{}}
+}
+
+// reassign discards the state of the endpoint to which an index belonged before. That endpoint stays excluded, because
+// proxies may hold it in their static tables. The endpoint that has the index now may have been excluded earlier.
+func (x *exclusion) reassign(endpoint int) {
+	delete(x.unavailable, endpoint)
+	delete(x.excludedAt, endpoint)
+	x.suspected[endpoint] = true
 }
 
 // update applies a change of an endpoint's availability.
@@ -65,13 +75,13 @@
 func (pb *publisher) excludeUnavailable() {
 	x := &pb.exclusion
 	to := pb.recipients()
-	lastChange := x.lastChange
+	lastSentAt := x.lastSentAt
 	pb.readmitReady(to)
 	ackExpected := len(pb.linesSinceAck) > 0 // some proxy was sent lines that it will acknowledge
 	before := pb.window.written
 	for _, endpoint := range slices.Sorted(maps.Keys(x.unavailable)) {
 		if pb.isExclusionDue(endpoint, to) && !pb.isInAssignedTable(endpoint, to) {
-			pb.exclude(endpoint, to, lastChange)
+			pb.exclude(endpoint, to, lastSentAt)
 		}
 	}
 	if pb.window.written > before && !ackExpected {
@@ -84,16 +94,27 @@
 // would overload the endpoint.
 func (pb *publisher) readmitReady(to recipients) {
 	x := &pb.exclusion
-	for _, endpoint := range slices.Sorted(maps.Keys(x.excludedAt)) {
+	for _, endpoint := range x.candidatesForReadmission() {
 		safe := len(to.waiting) == 0 || !pb.planner.isWarmingUp(endpoint)
 		if !x.isUnavailable(endpoint) && safe {
 			pb.planner.command(SetExcluded{endpoint, false})
 			x.lastChange = pb.planner.now
+			if _, excluded := x.excludedAt[endpoint]; excluded { // otherwise, hardly any proxy holds it
+				x.lastSentAt = pb.planner.now
+			}
 			delete(x.excludedAt, endpoint)
+			delete(x.suspected, endpoint)
 		}
 	}
 }
 
+// candidatesForReadmission returns the endpoints that are or may be excluded, in ascending order.
+func (x *exclusion) candidatesForReadmission() []int {
+	candidates := slices.AppendSeq(slices.Collect(maps.Keys(x.excludedAt)), maps.Keys(x.suspected))
+	slices.Sort(candidates)
+	return slices.Compact(candidates)
+}
+
 // isExclusionDue returns whether an unavailable endpoint should be excluded now. If no proxy waits for its tables, the
 // endpoint is excluded once; otherwise it is excluded at the deadline of each waiting proxy that may hold it.
 func (pb *publisher) isExclusionDue(endpoint int, to recipients) bool {
@@ -146,15 +167,15 @@
 }
 
 // exclude excludes an endpoint. If this requires messages to waiting proxies, it does nothing until the message
-// interval since lastChange has passed, and counts the exclusion as blocked if the messages do not fit into the channel.
-func (pb *publisher) exclude(endpoint int, to recipients, lastChange float64) {
+// interval since lastSentAt has passed, and counts the exclusion as blocked if the messages do not fit into the channel.
+func (pb *publisher) exclude(endpoint int, to recipients, lastSentAt float64) {
 	x := &pb.exclusion
 	now := pb.planner.now
 	cost := 0.0
 	for _, proxy := range to.waiting {
 		cost += pb.exclusionCost(endpoint, proxy, to)
 	}
-	if cost > 0 && lastChange+pb.messageInterval() > now {
+	if cost > 0 && lastSentAt+pb.messageInterval() > now {
 		return
 	}
 	if cost > 0 && !pb.fits(cost) {
@@ -167,6 +188,7 @@
 		pb.linesSinceAck[proxy.Proxy] += pb.exclusionCost(endpoint, proxy, to)
 	}
 	x.lastChange = now
+	x.lastSentAt = now
 	x.excludedAt[endpoint] = math.Max(now, minTimestampMs)
 }
 
--- a/planner/endpoint.go
+++ b/planner/endpoint.go
@@ -47,8 +47,12 @@
 }
 
 // updateEntry applies an entry of the endpoint list. If the endpoint's process has restarted, the load, health and
-// penalty of the previous process are discarded.
+// penalty of the previous process are discarded; if the index was reassigned, everything is.
 func (e *endpoint) updateEntry(entry Entry) {
+	if entry.Reassigned {
+		e.reassign()
+		entry.Reassigned = false // true for the first entry only
+	}
 	if e.listed && entry.Started != e.Started {
 		e.health = map[int]*zoneHealth{}
 		e.penalty = 0
@@ -63,6 +67,14 @@
 	e.listed = true
 }
 
+// reassign discards the state of the endpoint to which the index belonged before.
+func (e *endpoint) reassign() {
+	mailbox := e.mailbox
+	*e = *newEndpoint(e.planner, e.Endpoint)
+	e.mailbox = mailbox
+	e.planner.publisher.mailbox.enqueue(indexReassigned{e.Endpoint})
+}
+
 // applyReport updates the speed and load estimates from a load report. An empty report changes nothing.
 func (e *endpoint) applyReport(report Load) {
 	e.recordSpeed(report)
--- a/planner/events.go
+++ b/planner/events.go
@@ -18,7 +18,9 @@
 
 // Entry describes one endpoint of the endpoint list. Weight is its nominal capacity relative to other endpoints; 0
 // means unspecified. Started is the time at which its process started, in ms; 0 means long ago. An endpoint that
-// started recently is warming up.
+// started recently is warming up. Reassigned is true in the first entry of an endpoint whose index may have belonged to
+// another endpoint, or which may have had another index: what is known about the index does not concern this endpoint,
+// and it may still be excluded under its earlier index.
 type Entry struct {
 	Endpoint int
 	Zone     int
@@ -27,6 +29,8 @@
 	Phase    Phase
 	Weight   float64
 	Started  float64
+
+	Reassigned bool
 }
 
 // UpdateMode defines how the entries of an EndpointUpdate apply to the list received so far.
--- a/planner/harness_test.go
+++ b/planner/harness_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -93,6 +95,11 @@
 		}
 		h.weights[command.Table][command.Endpoint] = weight
 		h.written++
+	case ClearTable:
+		delete(h.weights, command.Table)
+		maps.DeleteFunc(h.admission, func(key string, _ SetAdmission) bool {
+			return strings.HasPrefix(key, fmt.Sprint(command.Table, "/"))
+		})
 	case SetExcluded:
 		h.excluded[command.Endpoint] = command.Excluded
 	case SetAdmission:
--- a/planner/mailbox.go
+++ b/planner/mailbox.go
@@ -65,7 +65,7 @@
 func (roundStart) toRegion()    {}
 
 // publisherMessage is a message to the publisher: ProxyJoined, ProxyLeft, Ack, ChannelStalled, wantedWeight,
-// wantedAdmission or availability.
+// wantedAdmission, availability or indexReassigned.
 type publisherMessage interface{ toPublisher() }
 
 func (ProxyJoined) toPublisher()     {}
@@ -75,6 +75,7 @@
 func (wantedWeight) toPublisher()    {}
 func (wantedAdmission) toPublisher() {}
 func (availability) toPublisher()    {}
+func (indexReassigned) toPublisher() {}
 
 // roundStart starts a control round. Timed rounds update penalties, health and admission; other rounds only adapt the
 // tables to a changed endpoint list.
@@ -101,3 +102,6 @@
 	endpoint int
 	ready    bool
 }
+
+// indexReassigned tells the publisher that an index now belongs to another endpoint than before.
+type indexReassigned struct{ endpoint int }
--- a/planner/publisher.go
+++ b/planner/publisher.go
@@ -93,6 +93,9 @@
 		pb.tables[message.command.Table].admissionWanted[message.command.Classes] = message.command
 	case availability:
 		pb.exclusion.update(message, pb.planner.now)
+	case indexReassigned:
+		pb.clearTablesWith(message.endpoint)
+		pb.exclusion.reassign(message.endpoint)
 	case ProxyJoined:
 		pb.join(message)
 	case ProxyLeft:
@@ -104,6 +107,22 @@
 	}
 }
 
+// clearTablesWith clears the tables that hold a line of an endpoint whose index was reassigned. The line can no longer be
+// removed by itself, because the index names another endpoint now. Tables that proxies hold have lost the line long
+// before, when the endpoint was gone, so that it is found only in tables without users, for which nothing is sent.
+func (pb *publisher) clearTablesWith(endpoint int) {
+	for _, t := range pb.tables {
+		delete(t.wanted, endpoint)
+		if _, found := t.sent[endpoint]; !found {
+			continue
+		}
+		pb.planner.command(ClearTable{t.number})
+		clear(t.sent)
+		clear(t.admissionSent)
+		t.planned = true
+	}
+}
+
 // flush runs at the end of each call of Handle and issues commands while the channel has room: first changed lines of
 // tables, then assignments of tables to proxies that wait for them, then exclusions of endpoints. If anything was sent,
 // a request for an acknowledgement follows.
