Planner: an exclusion charged more than the channel holds goes out once it is empty

Cause: the exclusion was charged six lines for each of 270 waiting proxies, though only those that hold the endpoint get a message, and it is sent only if the sum fits: 1,620 never fits into 1,200.

Change: proxies of a zone with three endpoints or more are not charged for endpoints of other zones, as their standing tables are drawn from their own zone; and with nothing in flight an exclusion goes out whatever it is charged. Whether it is due is judged as before.

--- a/planner/drain.go
+++ b/planner/drain.go
@@ -11,6 +11,9 @@
 	"slices"
 )
 
+// minZoneDraw is the number of endpoints in a zone from which the static tables of its proxies contain no others.
+const minZoneDraw = 3
+
 // exclusion tracks which endpoints are unavailable, and which of them are excluded. Times are in ms.
 type exclusion struct {
 	unavailable map[int]float64 // endpoints that drain or are gone, with the time at which this was reported
@@ -53,6 +56,7 @@
 	waiting          []*proxyState   // proxies that wait for their tables, in any order
 	waitingOfZone    map[int]float64 // number of waiting proxies, by zone
 	assignedOfSubset map[int]float64 // number of proxies that have assigned tables, by subset
+	smallZones       map[int]bool    // zones with fewer than minZoneDraw endpoints; nil if not computed yet
 }
 
 // recipients returns the proxies that wait for their tables, and the numbers of waiting and of assigned proxies.
@@ -171,6 +175,7 @@
 func (pb *publisher) exclude(endpoint int, to recipients, lastSentAt float64) {
 	x := &pb.exclusion
 	now := pb.planner.now
+	to.smallZones = pb.planner.smallZones()
 	cost := 0.0
 	for _, proxy := range to.waiting {
 		cost += pb.exclusionCost(endpoint, proxy, to)
@@ -178,7 +183,7 @@
 	if cost > 0 && lastSentAt+pb.messageInterval() > now {
 		return
 	}
-	if cost > 0 && !pb.fits(cost) {
+	if cost > 0 && !pb.fitsOrNeverWill(cost) {
 		pb.blocked.exclusions++
 		return
 	}
@@ -192,10 +197,19 @@
 	x.excludedAt[endpoint] = math.Max(now, minTimestampMs)
 }
 
-// exclusionCost returns how many lines the exclusion of an endpoint adds to the messages to a proxy. It is 0 if the
-// proxy cannot hold the endpoint, and includes the message overhead if no other lines were sent to the proxy.
+// fitsOrNeverWill returns whether lines can be sent: they fit into the channel, or nothing is in flight and they are more
+// than the backlog holds. As their number is an upper bound, waiting could not make them fit, and an exclusion must not
+// wait for ever.
+func (pb *publisher) fitsOrNeverWill(lines float64) bool {
+	return pb.fits(lines) || pb.window.inFlight() == 0
+}
+
+// exclusionCost returns an upper bound of how many lines the exclusion of an endpoint adds to the messages to a proxy. It
+// is 0 if the proxy cannot hold the endpoint, also because its static table contains only endpoints of its own zone, and
+// includes the message overhead if no other lines were sent to the proxy.
 func (pb *publisher) exclusionCost(endpoint int, proxy *proxyState, to recipients) float64 {
-	if !pb.mayHold(endpoint, proxy, to) {
+	ownZoneOnly := !to.smallZones[proxy.Zone] && proxy.Zone != pb.planner.endpoints[endpoint].Zone
+	if ownZoneOnly || !pb.mayHold(endpoint, proxy, to) {
 		return 0
 	}
 	if pb.linesSinceAck[proxy.Proxy] == 0 {
@@ -217,3 +231,20 @@
 		pb.assign(proxy)
 	}
 }
+
+// smallZones returns the zones with fewer than minZoneDraw endpoints that are listed and neither drain nor are gone. A
+// zone may have had fewer when a proxy started, so the result only decides how many lines an exclusion counts, not
+// whether it is sent.
+func (p *Planner) smallZones() map[int]bool {
+	counts := make([]int, len(p.regions))
+	for _, e := range p.endpoints {
+		if e.listed && e.Phase == Ready {
+			counts[e.Zone]++
+		}
+	}
+	small := map[int]bool{}
+	for zone, count := range counts {
+		small[zone] = count < minZoneDraw
+	}
+	return small
+}
--- a/planner/drain_test.go
+++ b/planner/drain_test.go
@@ -71,3 +71,39 @@
 		})
 	}
 }
+
+// TestExclusionAboveBacklog guards against review case 3: an exclusion was charged for all proxies that wait for their
+// tables, which was more than the channel's backlog, so that it was never sent although the channel was empty.
+func TestExclusionAboveBacklog(t *testing.T) {
+	for name, c := range map[string]struct {
+		proxies   int     // that wait for their tables
+		endpoints int     // in their zone
+		backlog   float64 // of the channel
+	}{
+		"static tables contain only their own zone": {300, 4, 1200},
+		"each proxy may hold the endpoint":          {300, 2, 1200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, func(settings map[string]any, _ []Entry) {
+				settings["proxy_count"] = 2.0 + float64(c.proxies)
+				settings["standing"] = 5.0
+				settings["backlog"] = c.backlog
+				settings["lines_per_s"] = 800.0
+			})
+			h.step(ProxyLeft{Proxy: 0}, ProxyLeft{Proxy: 1})
+			for i := 2; i < c.endpoints; i++ {
+				h.step(EndpointUpdate{Mode: Delta, Entries: []Entry{{Endpoint: 4 + i, Zone: 0, Weight: 2}}})
+			}
+			h.join(2, 2+c.proxies, 0, 1)
+			h.planner.publisher.window = sendWindow{}
+			h.now += 60000
+			drains := []Entry{{Endpoint: 2, Zone: 1, Weight: 2, Phase: Draining}}
+			h.step(EndpointUpdate{Mode: Delta, Entries: drains})
+			grace := h.planner.settings.DrainGraceMs
+			for end := h.now + grace; h.now < end && !h.excluded[2]; h.now += 50 {
+				h.step()
+			}
+			assert.True(t, h.excluded[2], "excluded within the drain grace")
+		})
+	}
+}
