--- a/planner/publisher.go
+++ b/planner/publisher.go
@@ -83,6 +83,16 @@
 	}
 }
 
+// SentWeights returns the weights of all tables as they were last sent, by table number and endpoint. It is meant for
+// inspection, for example for a comparison with what the proxies hold.
+func (p *Planner) SentWeights() []map[int]float64 {
+	var weights []map[int]float64
+	for _, t := range p.publisher.tables {
+		weights = append(weights, maps.Clone(t.sent))
+	}
+	return weights
+}
+
 // receive handles a message to the publisher.
 func (pb *publisher) receive(message publisherMessage) {
 	switch message := message.(type) {
