--- a/internal/platform/relay/subscription_test.go
+++ b/internal/platform/relay/subscription_test.go
@@ -9,6 +9,42 @@
 	"go.uber.org/zap"
 )
 
+// TestSilentSubscriptionReopensTheOther checks that if one subscription times out, the other one is reopened if it
+// opened after the first last received data. Neither has delivered the events in between.
+func TestSilentSubscriptionReopensTheOther(t *testing.T) {
+	events := NewEventStream("", &inbox{}, &Counters{}, zap.NewNop())
+	cancelled := 0
+	events.subscriptions[0].cancel = func() {}
+	events.subscriptions[1].cancel = func() { cancelled++ }
+	events.subscribed(0)
+	events.endSnapshot(context.Background(), 0)
+	time.Sleep(time.Millisecond)
+	events.subscribed(1)
+	events.unsubscribed(0)
+	assert.Equal(t, 1, cancelled)
+}
+
+// TestIncompleteSnapshotReopensTheOther checks that if a subscription ends within its snapshot after a gap, the other one is
+// reopened although the first has covered its opening: what was missed in the gap is still unknown.
+func TestIncompleteSnapshotReopensTheOther(t *testing.T) {
+	for name, complete := range map[string]bool{"incomplete": false, "complete": true} {
+		t.Run(name, func(t *testing.T) {
+			events := NewEventStream("", &inbox{}, &Counters{}, zap.NewNop())
+			cancelled := 0
+			events.subscriptions[0].cancel = func() {}
+			events.subscriptions[1].cancel = func() { cancelled++ }
+			events.subscribed(0)
+			events.subscribed(1)
+			if complete {
+				events.endSnapshot(context.Background(), 0)
+			}
+			openedLongAgo(t, events)
+			events.unsubscribed(0)
+			assert.Equal(t, !complete, cancelled == 1)
+		})
+	}
+}
+
 // TestEndedSubscriptionReopensTheOther checks that if one subscription ends, the other one is reopened if it opened after
 // the first last received data: neither has delivered the events in between. Review case 6: it was not reopened if the
 // first one ended by a reset. Data received within maxDeliveryDelay may have been sent before the other one opened.
